Let servers come back from k = 0, and spare them for lone resets

A steady few resets also kept k at 1, since each halved it. Ruled out: 'allout' refusals and the trial tokens (full all the time).

--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -22,7 +22,8 @@
 )
 
 STEPS = 10  # the clamp on k: A105's default for max_connections_per_subchannel
-FIGURE = 1.0  # concurrency figure of a server nothing is known of, and its ceiling: each step admits so many
+FIGURE = 1.0  # least concurrency figure of a server nothing is known of: each step admits so many
+SERVER = 4.0  # calls that a server is taken to work on at a time, shared among the sidecars: a first figure
 DRAWS = 12  # draws before a pick falls back on the set of servers under budget
 VNODES = 16  # ring points of a server, so that no server owns far more keys than another
 SUBSET = 4  # servers a silent sidecar draws from
@@ -32,6 +33,7 @@
 RUMOUR_NS = 100_000  # unit of the times told
 ABSURD = 1e13  # no report of a time this long is believed
 RETRY_RATIO = 0.2  # further attempts earned by one request
+LONE = 0.4  # failure average past which a reset is not the only late failure
 STREAK = 0.6  # failure average past which spoilt answers convict: three in a row
 CUT = 0.6  # failure average past which a zone counts as cut off: three failed connections in a row
 TRIAL_RATIO = 0.1  # trials of servers at k = 0 earned by one request
@@ -43,10 +45,12 @@
     __slots__ = (
         "name", "zone", "kind", "cell", "up", "started", "inflight", "k", "figure", "trial", "backoff",
         "retry_at", "stretch", "wait", "seen", "bad", "peak", "used", "slot", "dead", "gone",
+        "ceiling",
     )
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: Entry, figure: float) -> None:
         self.name = entry.server
+        self.ceiling = figure
         self.inflight = 0
         self.peak = 0  # connections open, as far as own calls in flight tell
         self.used = 0  # when a connection was last used
@@ -58,7 +62,7 @@
 
     def reset(self) -> None:
         """A new process: nothing learned of the old one holds."""
-        self.k, self.figure = 1, FIGURE
+        self.k, self.figure = 1, self.ceiling
         self.trial = False
         self.backoff = self.retry_at = 0
         self.stretch = self.wait = 0.0
@@ -114,6 +118,8 @@
         self._rng = random.Random(seed)
         self._random = self._rng.random
         self._acts: list[Action] = []
+        self._figure = max(FIGURE, SERVER / settings.replicas)
+        self._steps = max(1, int(STEPS / self._figure))
         self._servers: dict[str, Server] = {}
         self._up: list[Server] = []
         self._room: list[Server] = []  # servers under budget, in no order that hashing could change
@@ -287,7 +293,7 @@
     def _enter(self, now: int, entry: Entry) -> None:
         server = self._servers.get(entry.server)
         if server is None:
-            server = self._servers[entry.server] = Server(entry)
+            server = self._servers[entry.server] = Server(entry, self._figure)
         server.zone, server.kind, server.cell = entry.zone, entry.kind, entry.cell
         if server.started >= 0 and entry.started_ns > server.started:
             server.reset()  # a restart: verdicts on the old process say nothing of the new one
@@ -440,17 +446,21 @@
                 server.backoff = min(max(2 * server.backoff, self._horizon), 8 * self._horizon)
                 server.retry_at = now + int(server.backoff * (0.75 + 0.5 * self._random()))
             else:
-                server.k = min(server.k + 1, STEPS)
+                server.k = min(server.k + 1, self._steps)
                 server.backoff = server.retry_at = 0
-        elif how in (How.CONNECT_FAILED, How.RESET) and server.k:
+        elif how == How.CONNECT_FAILED and server.k:
             server.k //= 2
+        elif how == How.RESET and server.k and server.bad > LONE:
+            # Exception "lone reset": a connection may break under a healthy server, and where some do all the
+            # time, k would never grow back. And when most servers look bad, the cause is shared.
+            server.k = max(server.k // 2, 0 if self._may_convict() else 1)
         elif how == How.SPOILT and server.k and server.bad > STREAK and self._may_convict():
             # Exception "spoilt": one bad answer may come from any server; a streak of them is this server's.
             server.k = 0
         if how == How.FULL:
             server.figure = max(1.0 / STEPS, server.figure * 0.7)
         elif not failed:
-            server.figure = min(FIGURE, server.figure + GAIN / 8)
+            server.figure = min(server.ceiling, server.figure + GAIN / 8)
         if how == How.ERROR and server.k and self._may_convict():
             # Exception "conviction": failing servers answer fast, look idle and would draw all traffic.
             server.k = 0
@@ -564,7 +574,8 @@
                 best, best_time = server, self._expect(server, call, now)
         if best is None and not self._room and self._up:
             server = self._up[int(self._random() * len(self._up))]
-            if 0 < server.k < STEPS and self._trial_due(server, now) and self._may_go(now, call, server):
+            due = 0 < server.k < self._steps and self._trial_due(server, now)
+            if due and self._may_go(now, call, server):
                 return server, True, 0.0  # growth: calls wait at full budgets, so one passes as a trial
         return best, False, best_time
 
@@ -573,7 +584,10 @@
         sidecar spend every call on the dead half of a fleet that was cut in two."""
         if not self._trial_due(server, now) or self._trials < 1.0:
             return False
-        if call.aim_at - now - call.size * self._stretch < self._set.limits.connect_timeout_ns:
+        # A call that might die of a failed trial is spared while there is a server that would take it. But
+        # aims may be shorter than the connect time-out: no call could spare that, and servers stayed out.
+        spare = min(self._set.limits.connect_timeout_ns, call.cls.aim_ns // 2)
+        if self._live and call.aim_at - now - call.size * self._stretch < spare:
             return False
         if self._random() >= self._set.invariants.cold_from:
             return False
--- a/tests/support.py
+++ b/tests/support.py
@@ -37,6 +37,7 @@
         ],
         "failureDomains": ["a", "b"],
         "periodNs": 5 * MS,
+        "replicasOfMe": 4,
         "limits": {"maxAttempts": 4, "retryAfter": True, "maxRetryAfterNs": 1_000 * MS},
         "invariants": {"coldFrom": 0.2, "coldNs": 10_000 * MS, "drainGraceNs": 500 * MS},
     }
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -9,7 +9,7 @@
 from covetally.interface import Directory, Entry, How, Response
 from covetally.net import upstream
 from tests.loopback import answer, fine, place, read_message, request, traces, until
-from tests.support import Paper
+from tests.support import MS, Paper, settings
 
 SPOILT = {
     "noise": b"\x8e\xfb\x00\xff\r\n\r\n\r\n",
@@ -59,6 +59,46 @@
     assert server.k == 0
 
 
+def test_servers_at_k_zero_come_back_where_aims_are_shorter_than_the_connect_timeout():
+    """No call had the time to spare that a trial asked for, so none was ever sent and all stayed out."""
+    limits = {"maxAttempts": 4, "connectTimeoutNs": 400 * MS}
+    for dead in ({"s0"}, {"s0", "s1"}):
+        paper = Paper(settings(limits=limits), servers=2)
+        for name in dead:
+            paper.server(name).k = 0
+        paper.balancer._live = 2 - len(dead)
+        for _ in range(300):
+            tid = paper.accept()
+            if paper.history[tid] and (tid, 0) in paper.out:
+                paper.answer(tid, 0, lag=20 * MS)
+            paper.advance(10 * MS)
+        assert all(paper.server(name).k for name in dead)
+
+
+def test_a_lone_reset_leaves_a_server_in_and_some_in_a_row_do_not():
+    paper = Paper(servers=1)
+    server = paper.server("s0")
+    server.k = 2
+    for expected in (2, 1, 0):
+        paper.answer(paper.accept(cls=1), 0, how=305)
+        assert server.k == expected
+
+
+def test_resets_now_and_then_do_not_shrink_budgets_for_good():
+    paper = Paper(servers=1)
+    server = paper.server("s0")
+    server.k = 6
+    for turn in range(100):
+        paper.answer(paper.accept(cls=1), 0, how=305 if turn % 8 == 7 else 100, lag=20 * MS)
+    assert server.k == 6
+
+
+def test_the_first_budget_is_a_sidecar_s_part_of_what_a_server_can_do():
+    for replicas, budget in ((1, 4), (2, 2), (100, 1)):
+        server = Paper(settings(replicasOfMe=replicas), servers=1).server("s0")
+        assert server.budget == budget
+
+
 @pytest.mark.parametrize("extra", [b"noise", answer(b"stale")])
 def test_what_comes_behind_an_answer_is_nobody_s(extra):
     async def more(server, got, reader, writer):
