Judge failures against what all servers show; hold back on connections that break

Shedding also counted failure risk as time. Ruled out: missing sockets, own idle closes, the resets' rest age (1 to 500 ms alike).

--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -33,8 +33,12 @@
 RUMOUR_NS = 100_000  # unit of the times told
 ABSURD = 1e13  # no report of a time this long is believed
 RETRY_RATIO = 0.2  # further attempts earned by one request
-LONE = 0.4  # failure average past which a reset is not the only late failure
+LONE = 0.4  # failure average past which a failure is not the only one of late, where all others are well
+PLENTY = 32  # requests of late for each server, over four times the longest deadline, that count as many
 STREAK = 0.6  # failure average past which spoilt answers convict: three in a row
+SAFE = 0.6  # expected time over time left up to which a call is sent without a doubt
+RATIOS = (0.75, 0.9, 1.05, 1.25, 1.6)  # bounds of the classes of expected time over time left
+DOUBT = 20.0  # late calls of a class of ratios that weigh as much as what is supposed without any
 CUT = 0.6  # failure average past which a zone counts as cut off: three failed connections in a row
 TRIAL_RATIO = 0.1  # trials of servers at k = 0 earned by one request
 
@@ -104,10 +108,27 @@
 class Attempt:
     """One attempt whose outcome is due; it outlives its call."""
 
-    __slots__ = ("server", "trial", "sent", "size", "cls")
+    __slots__ = ("server", "trial", "sent", "size", "cls", "aim_at", "odds")
 
-    def __init__(self, server: Server, trial: bool, sent: int, size: float, cls: int) -> None:
+    def __init__(
+        self, server: Server, trial: bool, sent: int, size: float, cls: int, aim_at: int, odds: Odds | None
+    ) -> None:
         self.server, self.trial, self.sent, self.size, self.cls = server, trial, sent, size, cls
+        self.aim_at, self.odds = aim_at, odds
+
+
+class Odds:
+    """How calls fared of late that were expected to need about such a part of their time left."""
+
+    __slots__ = ("hits", "tries", "at")
+
+    def __init__(self, now: int) -> None:
+        self.hits = self.tries = 0.0
+        self.at = now
+
+    def note(self, now: int, hit: bool, memory: int) -> None:
+        kept = memory / (memory + max(0, now - self.at))
+        self.hits, self.tries, self.at = self.hits * kept + hit, self.tries * kept + 1.0, now
 
 
 class Balancer:
@@ -144,6 +165,8 @@
         self._size = float(sum(self._unit)) / len(classes)  # mean size of late
         self._tokens = 1.0 / RETRY_RATIO
         self._trials = 1.0
+        self._noise = 0.0  # share of late outcomes that were failures, all servers
+        self._odds = [Odds(now) for _ in range(len(RATIOS) + 1)]
         self._cut: dict[int, float] = {}  # share of late connections to a zone that failed
         self._heard = 0.0  # requests of late, decaying over the horizon
         self._heard_at = self._begun_at = now
@@ -240,6 +263,8 @@
         server.inflight -= 1
         server.used = now
         self._learn(now, attempt, event)
+        if attempt.odds is not None and event.how not in (How.CANCELLED, How.MOOT):
+            attempt.odds.note(now, event.how == How.OK and now <= attempt.aim_at, 4 * self._horizon)
         if self._set.limits.peers and event.how in (How.OK, How.TIMEOUT):
             self._tell(server)
         self._judge(now, attempt, event.how)
@@ -440,28 +465,30 @@
             server.bad *= 1.0 - GAIN
         if not failed:
             self._cut[server.zone] = 0.0
+        if how != How.TIMEOUT:
+            self._noise += (failed - self._noise) * GAIN / 16
         before = server.k
-        if attempt.trial:
+        lone = failed and how not in (How.TIMEOUT, How.FULL) and self._lone(server)
+        if attempt.trial and not (lone and before):
             if failed:
                 server.backoff = min(max(2 * server.backoff, self._horizon), 8 * self._horizon)
                 server.retry_at = now + int(server.backoff * (0.75 + 0.5 * self._random()))
             else:
                 server.k = min(server.k + 1, self._steps)
                 server.backoff = server.retry_at = 0
-        elif how == How.CONNECT_FAILED and server.k:
-            server.k //= 2
-        elif how == How.RESET and server.k and server.bad > LONE:
-            # Exception "lone reset": a connection may break under a healthy server, and where some do all the
-            # time, k would never grow back. And when most servers look bad, the cause is shared.
-            server.k = max(server.k // 2, 0 if self._may_convict() else 1)
-        elif how == How.SPOILT and server.k and server.bad > STREAK and self._may_convict():
+        elif how in (How.CONNECT_FAILED, How.RESET) and server.k:
+            if not lone:
+                server.k //= 2
+            elif how == How.CONNECT_FAILED:
+                server.k = max(1, server.k // 2)
+        elif how == How.SPOILT and server.k and not lone and server.bad > STREAK and self._may_convict():
             # Exception "spoilt": one bad answer may come from any server; a streak of them is this server's.
             server.k = 0
         if how == How.FULL:
             server.figure = max(1.0 / STEPS, server.figure * 0.7)
         elif not failed:
             server.figure = min(server.ceiling, server.figure + GAIN / 8)
-        if how == How.ERROR and server.k and self._may_convict():
+        if how == How.ERROR and server.k and not lone and self._may_convict():
             # Exception "conviction": failing servers answer fast, look idle and would draw all traffic.
             server.k = 0
         if how == How.CONNECT_FAILED:
@@ -480,6 +507,18 @@
         elif server.k and not before:
             self._live += server.up
 
+    def _plenty(self) -> bool:
+        return self._heard > PLENTY * len(self._up)
+
+    def _lone(self, server: Server) -> bool:
+        """Exception "lone failure": no verdict on a failure that may be chance, where more calls soon tell.
+
+        Connections and answers may break under healthy servers all the time. Where each of those costs a
+        server its steps, k never grows back. So a sidecar with many calls for each server waits for failures
+        beyond what all servers show; one with few calls cannot, and takes the first failure for a verdict.
+        """
+        return self._plenty() and server.bad <= LONE + 2.0 * min(self._noise, 0.2)
+
     def _may_convict(self) -> bool:
         """When most servers look bad the cause is shared, and convicting more only costs capacity."""
         return 2 * self._live > len(self._up)
@@ -627,11 +666,13 @@
             return True
         return call.cls.repeat == "guarded" and call.cls.group == "all"
 
-    def _send(self, now: int, call: Call, server: Server, trial: bool) -> None:
+    def _send(
+        self, now: int, call: Call, server: Server, trial: bool, odds: Odds | None = None
+    ) -> None:
         if server.inflight >= server.peak or now - server.used > self._set.limits.conn_idle_ns:
             server.peak = server.inflight + 1
         self._attempts[call.tid, call.attempts] = Attempt(
-            server, trial, now, call.size, call.number
+            server, trial, now, call.size, call.number, call.aim_at, odds
         )
         call.attempts += 1
         call.out += 1
@@ -680,19 +721,28 @@
         if not self._may_go(now, call, server):
             self._end(now, call, 0)
             return True
-        if not trial and self._hopeless(now, call, expect):
-            self._end(now, call, self._set.limits.max_retry_after_ns)
-            return True
-        self._send(now, call, server, trial)
+        odds = None
+        if self._plenty():
+            expect -= server.bad * call.cls.aim_ns  # a risk to be avoided in the pick, but no time it takes
+        ratio = 0.0 if trial else expect / max(1, call.aim_at - now)
+        if ratio > SAFE:
+            odds = self._odds[bisect(RATIOS, ratio)]
+            if self._hopeless(ratio, odds):
+                self._end(now, call, self._set.limits.max_retry_after_ns)
+                return True
+        self._send(now, call, server, trial, odds)
         return True
 
-    def _hopeless(self, now: int, call: Call, expect: float) -> bool:
-        """Exception "shedding": the best server found would answer after the aim, which earns little.
+    def _hopeless(self, ratio: float, odds: Odds) -> bool:
+        """Exception "shedding": the best server found would answer about when the aim is over or later.
 
-        Random, so that a thousand sidecars with the same old news don't all stop and start together.
+        What is supposed of such calls gives way to how they fared of late, where there were enough of them: a
+        sidecar with much traffic soon knows how far its own expectations can be trusted. Random, so that a
+        thousand sidecars with the same old news don't all stop and start together.
         """
-        ratio = expect / max(1, call.aim_at - now)
-        return self._random() < min(0.95, (ratio - 0.6) * 2.0)
+        supposed = 0.5 - min(0.95, (ratio - SAFE) * 2.0) / 2.0
+        hit = (odds.hits + DOUBT * supposed) / (odds.tries + DOUBT)
+        return self._random() < min(0.95, 1.0 - 2.0 * hit)
 
     def _pause(self, now: int) -> int:
         return max(0, min((s.retry_at for s in self._up), default=now) - now)
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -25,6 +25,8 @@
 IDLE_SHARE = 0.9  # of the servers' idle time: a request must not meet their close on its way
 REST_AGED_S = 0.5  # a connection that rested so long may be dead without a sign
 HOLD_BACK_S = 0.015  # the last byte waits so long on such a one: a round trip between data centres and some
+WARY_S = 10.0  # connections are not trusted for so long after one broke when it was used again,
+WARY_HOLD_BACK_S = 0.003  # and the last byte waits so long on each: about a round trip within a data centre
 SETTLE_S = 0.001  # a connection is used again no sooner: what comes right behind an answer must show first
 MAX_INTERIM = 16  # 1xx answers ahead of the answer
 TAIL_S = 0.05  # wait for the rest of an error answer, whose head has told all: worth a kept connection
@@ -71,6 +73,8 @@
     sent: bool = False  # the last byte is the kernel's: from here on it may have run
     verdict: How | None = None  # told by an answer's head; nothing after it can change that
     load: Load = field(default_factory=dict)
+    reused: bool = False
+    answered: bool = False  # the head of an answer has come
 
 
 class _Rest(NamedTuple):
@@ -103,6 +107,7 @@
         self._clock = clock
         self._limit = limit
         self._open = 0
+        self._wary_until = 0.0
         self._servers: dict[str, _Server] = {}
 
     # --- the list -------------------------------------------------------------------------------
@@ -233,6 +238,8 @@
             how = How.TIMEOUT
         except OSError:
             how = How.RESET
+            if trip.reused and not trip.answered:
+                self._wary_until = asyncio.get_running_loop().time() + WARY_S
         except h11.ProtocolError as error:
             # Guards against any answer that cannot be told to be whole and this request's own. A connection
             # that ends inside an answer is no spoilt answer but a reset.
@@ -253,17 +260,19 @@
         rested = self._take_rested(server)
         if rested is not None:
             trip.stream, since = rested
+            trip.reused = True
             trip.epoch = server.epoch
             rest_s = asyncio.get_running_loop().time() - since
             try:
                 if rest_s < SETTLE_S:
                     await trip.stream.quiet(SETTLE_S - rest_s)
-                aged = rest_s >= REST_AGED_S
-                await self._write(server, trip, request, abandon_ns, HOLD_BACK_S if aged else 0.0)
+                await self._write(server, trip, request, abandon_ns, self._hold_back_s(rest_s))
                 return
             except OSError:
                 # Its last byte was never written: going on with a new connection is the same attempt.
+                self._wary_until = asyncio.get_running_loop().time() + WARY_S
                 await self._close(trip)
+                trip.reused = False
         trip.epoch = server.epoch
         trip.stream = stream = await self._connect(server)
         try:
@@ -272,6 +281,18 @@
             if not stream.leftover:
                 raise  # else it spoke before it had the whole request: it may turn it away
 
+    def _hold_back_s(self, rest_s: float) -> float:
+        """How long the last byte of a request waits for a sign that its kept connection is dead.
+
+        Guards against connections that servers, or what stands between, drop without a word or a moment too
+        late: such a one answers the first bytes with a reset, and as long as the last byte is not written,
+        the request has not run and may go on another. It costs each request that time, so it is done on
+        connections that rested long, and on all only while some have been seen to break.
+        """
+        if rest_s >= REST_AGED_S:
+            return HOLD_BACK_S
+        return WARY_HOLD_BACK_S if asyncio.get_running_loop().time() < self._wary_until else 0.0
+
     async def _write(
         self, server: _Server, trip: _Trip, request: Request, abandon_ns: int, hold_back_s: float
     ) -> None:
@@ -303,6 +324,7 @@
             raise h11.RemoteProtocolError("1xx answers without end")
         if not isinstance(head, h11.Response):
             raise Broken("ended before an answer")
+        trip.answered = True
         headers = list(head.headers)
         trip.load = self._read_load(headers)
         if trip.sent and 400 <= head.status_code < 500:
