Take a server for restarted only after connections failed in a row

Cause: balance._judge set 'dead' on the first failed connection, and the next answer made the server count as cold for its full warming time. With a new connection reset now and then, all servers were cold: next to no draws were kept, and expected times stood at several times the true ones (a trace showed 85% of calls in time that were expected to need over 1.6 times what was left). Ruled out: k and budgets (open at that time), held calls (few).

--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -35,6 +35,7 @@
 RETRY_RATIO = 0.2  # further attempts earned by one request
 LONE = 0.4  # failure average past which a failure is not the only one of late, where all others are well
 PLENTY = 32  # requests of late for each server, over four times the longest deadline, that count as many
+DEAD = 3  # failed connections in a row that show a dead process to a sidecar with many calls for each server
 STREAK = 0.6  # failure average past which spoilt answers convict: three in a row
 SAFE = 0.6  # expected time over time left up to which a call is sent without a doubt
 RATIOS = (0.75, 0.9, 1.05, 1.25, 1.6)  # bounds of the classes of expected time over time left
@@ -48,7 +49,7 @@
 
     __slots__ = (
         "name", "zone", "kind", "cell", "up", "started", "inflight", "k", "figure", "trial", "backoff",
-        "retry_at", "stretch", "wait", "seen", "bad", "peak", "used", "slot", "dead", "gone",
+        "retry_at", "stretch", "wait", "seen", "bad", "peak", "used", "slot", "refused", "gone",
         "ceiling",
     )
 
@@ -72,7 +73,7 @@
         self.stretch = self.wait = 0.0
         self.seen = 0  # 0: never heard of, so the fleet's mean stands in
         self.bad = 0.0  # share of late outcomes that were failures
-        self.dead = False  # connections failed since the last success
+        self.refused = 0  # connections that failed since the last success
 
     @property
     def budget(self) -> int:
@@ -494,11 +495,12 @@
         if how == How.CONNECT_FAILED:
             # Exception "cut zone": when a link is cut, learning it server by server costs a call for each.
             self._cut[server.zone] = self._cut.get(server.zone, 0.0) * (1.0 - GAIN) + GAIN
-            server.dead = True
-        elif how == How.OK and server.dead:
-            # Connections failed and now work: it restarted before the list says so; treat it as cold.
-            server.dead = False
-            server.started = max(server.started, now)
+            server.refused += 1
+        elif how == How.OK:
+            if server.refused >= (DEAD if self._plenty() else 1):
+                # Connections failed and now work: it restarted before the list says so; treat it as cold.
+                server.started = max(server.started, now)
+            server.refused = 0
         if before and not server.k:
             self._live -= server.up
             if not attempt.trial:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -168,7 +168,7 @@
     """It restarted before the list said so."""
     paper = Paper(servers=2)
     server = paper.server("s0")
-    server.dead, server.k = True, 1
+    server.refused, server.k = 1, 1
     while True:
         tid = paper.accept()
         name = paper.sends(tid)[0]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -87,6 +87,23 @@
     assert server.k == 0
 
 
+@pytest.mark.parametrize("failures, cold", [(1, False), (3, True)])
+def test_with_many_calls_a_lone_failed_connection_is_no_restart(failures, cold):
+    """Servers whose connections fail now and then were taken for cold, and got next to nothing."""
+    paper = Paper(servers=1)
+    server = paper.server("s0")
+    paper.balancer._heard = 1e6
+    for _ in range(failures):
+        server.k = 1
+        paper.balancer._cut.clear()  # else its zone gets only trials
+        paper.balancer._tokens = 0.0  # no further attempt
+        paper.answer(paper.accept(cls=1), 0, how=304)
+    server.k = 1
+    paper.balancer._cut.clear()
+    paper.answer(paper.accept(cls=1), 0, lag=20 * MS)
+    assert (server.started == paper.now) is cold
+
+
 def test_with_few_calls_the_first_failure_is_a_verdict():
     paper = Paper(servers=1)
     paper.answer(paper.accept(cls=1), 0, how=305)
