--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -93,14 +93,12 @@
     paper = Paper(servers=1)
     server = paper.server("s0")
     paper.balancer._heard = 1e6
-    for _ in range(failures):
-        server.k = 1
+    for how in [304] * failures + [100]:
+        server.k, paper.balancer._live = 1, 1
+        paper.balancer._refresh(server)
         paper.balancer._cut.clear()  # else its zone gets only trials
         paper.balancer._tokens = 0.0  # no further attempt
-        paper.answer(paper.accept(cls=1), 0, how=304)
-    server.k = 1
-    paper.balancer._cut.clear()
-    paper.answer(paper.accept(cls=1), 0, lag=20 * MS)
+        paper.answer(paper.accept(cls=1), 0, how=how, lag=20 * MS)
     assert (server.started == paper.now) is cold
 
 
