Prefer servers expected in time, learn queues from repeated time-outs only

Heads were also read twice (frontend), and after SIGTERM nobody served for 0.15 s longer than need be. Ruled out: budgets (half used), failures (none).

--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -50,7 +50,7 @@
     __slots__ = (
         "name", "zone", "kind", "cell", "up", "started", "inflight", "k", "figure", "trial", "backoff",
         "retry_at", "stretch", "wait", "seen", "bad", "peak", "used", "slot", "refused", "gone",
-        "ceiling",
+        "ceiling", "late",
     )
 
     def __init__(self, entry: Entry, figure: float) -> None:
@@ -73,6 +73,7 @@
         self.stretch = self.wait = 0.0
         self.seen = 0  # 0: never heard of, so the fleet's mean stands in
         self.bad = 0.0  # share of late outcomes that were failures
+        self.late = 0.0  # share of late outcomes that were time-outs, while they teach nothing else
         self.refused = 0  # connections that failed since the last success
 
     @property
@@ -400,6 +401,10 @@
             kind = self._by_kind.get(server.kind, self._stretch)
             self._by_kind[server.kind] = kind + (sample - kind) * weight / 4
             self._unit[attempt.cls] += (service / self._stretch - self._unit[attempt.cls]) * GAIN / 8
+            server.late *= 1.0 - GAIN
+        elif event.how == How.TIMEOUT and self._plenty() and server.late < LONE:
+            # As for "lone failure": an answer may be lost where nothing queues, and more calls soon tell.
+            server.late += (1.0 - server.late) * GAIN
         elif event.how == How.TIMEOUT and lag > 0:
             # A call that timed out waited at least so long: reports may not say it yet.
             server.wait = max(server.wait, lag - attempt.size * self._kind_stretch(server))
@@ -605,7 +610,7 @@
                 # Exception "heavy call": few servers are fast and free enough for it, so look on for one.
                 if time < best_time:
                     best, best_time = server, time
-            elif (server.inflight, time) < (best.inflight, best_time):
+            elif self._before(server, time, best, best_time, left):
                 best, best_time = server, time
             if drawn >= 2 and (best_time <= left / 2 or drawn >= looks):
                 break
@@ -620,6 +625,14 @@
                 return server, True, 0.0  # growth: calls wait at full budgets, so one passes as a trial
         return best, False, best_time
 
+    def _before(self, server: Server, time: float, best: Server, best_time: float, left: int) -> bool:
+        """Whether a server drawn is to be preferred to the best so far."""
+        if self._plenty() and (time > left) != (best_time > left):
+            # Exception "doomed pick": however few calls a slow server has, one more would be lost there. It
+            # takes knowledge that is fresh, so it is for sidecars with many calls for each server.
+            return time <= left
+        return (server.inflight, time) < (best.inflight, best_time)
+
     def _may_probe(self, now: int, call: Call, server: Server) -> bool:
         """A trial at k = 0. All sidecars together must not flood a server that comes back cold, nor may one
         sidecar spend every call on the dead half of a fleet that was cut in two."""
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -8,7 +8,6 @@
 import re
 import socket
 import time
-from collections import Counter
 from urllib.parse import parse_qs
 
 import h11
@@ -16,7 +15,7 @@
 from covetally.interface import SECOND, Accept, Settings
 from covetally.net.budget import BodyBudget, Exhausted, Hold
 from covetally.net.sidecar import Sidecar
-from covetally.net.stream import MAX_BODY, Answer, Stream, end_to_end, framing_told_twice
+from covetally.net.stream import MAX_BODY, Answer, Headers, Stream, end_to_end
 from covetally.net.upstream import Request
 
 log = logging.getLogger(__name__)
@@ -31,8 +30,8 @@
 IDLE_S = 4.0  # a connection may rest so long between requests
 HALF_SENT_OLD_S = 0.3  # a request that takes longer to come makes room for others when there is none
 WRITE_S = 2.0  # a client that does not take its answer for so long is gone
-ACCEPT_ON_S = 0.5  # after SIGTERM: the platform sends new connections for up to 0.4 s
-HALF_SENT_S = 0.2  # after that, for requests that are still coming
+ACCEPT_ON_S = 0.45  # after SIGTERM: the platform sends new connections for up to 0.4 s
+HALF_SENT_S = 0.1  # after that, for requests still coming; until the next process is up nobody serves
 MAX_COST_NS = 60 * SECOND  # no hint of more work than this is believed
 TEXT = [(b"content-type", b"text/plain")]
 
@@ -45,92 +44,91 @@
         self.status = status
 
 
+_FRAMING = (b"content-length", b"transfer-encoding")
 _TRACE_ID = re.compile(rb"[!-~]{1,128}")
 _SINGLE = frozenset(
     b"x-trace-id x-qos x-customer x-expires-in idempotency-key x-second-try x-size-hint".split()
 )  # headers that decide what becomes of a request: told twice, each hop might believe another one
 
 
-def check_head(settings: Settings, head: h11.Request) -> None:
-    """Guards against requests that servers cannot use, or might read in another way than this sidecar.
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,18})?")
 
-    _Rejected is raised on any head that is not of the protocol's form, before its body is read. It ought to
-    catch whatever would reach a server as somebody else's request. It does harm to clients that bend the
-    form, as with a body under GET or with a class that this sidecar has not been told of.
-    """
-    headers = end_to_end(head.headers)
-    counts = Counter(name for name, _ in headers)
-    told_twice = [name for name in _SINGLE if counts[name] > 1]
-    if framing_told_twice(head.headers):
-        raise _Rejected(400, "both Content-Length and Transfer-Encoding")
-    if told_twice:
-        raise _Rejected(400, f"{told_twice[0].decode()} told twice")
-    if head.method not in (b"GET", b"POST"):
-        raise _Rejected(405, "neither GET nor POST")
-    length = next((int(v) for k, v in head.headers if k == b"content-length"), 0)
-    if length > MAX_BODY:
-        raise _Rejected(413, "body too long")
-    if head.target.partition(b"?")[0] == READY_PATH:
-        return
-    if head.method == b"GET" and (length or any(k == b"transfer-encoding" for k, _ in head.headers)):
-        raise _Rejected(400, "GET with a body")
-    values = dict(headers)
-    if not _TRACE_ID.fullmatch(values.get(b"x-trace-id", b"")):
-        raise _Rejected(400, "no readable X-Trace-Id")
-    number = _class_number(settings, values)
-    if number is None:
-        raise _Rejected(400, "X-Qos names no class")
-    if settings.classes[number].repeat == "guarded" and not values.get(b"idempotency-key"):
-        raise _Rejected(400, "no Idempotency-Key, which this class has to have")
-    if not _number(values.get(b"x-expires-in")):
-        raise _Rejected(400, "X-Expires-In is not a number above 0")
-
-
-def _class_number(settings: Settings, values: dict[bytes, bytes]) -> int | None:
-    name = values.get(b"x-qos", b"").decode("latin-1")
-    return next((i for i, c in enumerate(settings.classes) if c.name == name), None)
-
-
-def read_arrival(settings: Settings, request: Request, age_ns: int) -> Accept:
-    """The module's event for a checked request whose last byte came so long ago."""
-    values = dict(request.headers)
-    number = _class_number(settings, values)
-    assert number is not None
-    customer = values.get(b"x-customer", b"").decode("latin-1")
-    deadline_ns = settings.classes[number].deadline_ns
-    ttl_ns = min(int(_number(values.get(b"x-expires-in")) * SECOND), deadline_ns)
-    query = request.target.partition(b"?")[2].decode("latin-1")
-    return Accept(
-        tid="",
-        cls=number,
-        ttl_ns=max(ttl_ns - age_ns, 1),
-        cost_ns=min(int(_number(values.get(b"x-size-hint")) * 1000), MAX_COST_NS),
-        tenant=next((i for i, t in enumerate(settings.tenants) if t.name == customer), -1),
-        key=_query_value(query, "sid"),
-        retry=values.get(b"x-second-try") == b"1",
-    )
-
-
-def _query_value(query: str, name: str) -> str:
+
+def _number(text: bytes) -> float:
+    """A number above 0, else 0: what cannot be read counts as not told."""
+    return float(text) if _DECIMAL.fullmatch(text) else 0.0
+
+
+def _query_value(target: bytes, name: str) -> str:
+    query = target.partition(b"?")[2].decode("latin-1")
     try:
         return parse_qs(query, max_num_fields=64).get(name, [""])[0]
     except ValueError:  # more fields than that
         return ""
 
 
-_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,18})?")
+class Heads:
+    """Reads the heads of requests.
 
+    Guards against requests that servers cannot use, or might read in another way than this sidecar: `read`
+    raises _Rejected on any head that is not of the protocol's form, before its body is read. It ought to
+    catch whatever would reach a server as somebody else's request. It does harm to clients that bend the
+    form, as with a body under GET or with a class that this sidecar has not been told of.
+    """
 
-def _number(text: bytes | None) -> float:
-    """A number above 0, else 0: what cannot be read counts as not told."""
-    return float(text) if text and _DECIMAL.fullmatch(text) else 0.0
+    def __init__(self, settings: Settings) -> None:
+        self._classes = {c.name.encode(): (i, c) for i, c in enumerate(settings.classes)}
+        self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
+
+    def read(self, head: h11.Request) -> tuple[Headers, Accept | None]:
+        """The headers to pass on and the module's event; no event where it is asked whether it is ready."""
+        raw = list(head.headers)
+        framing = {name: value for name, value in raw if name in _FRAMING}
+        if len(framing) > 1:
+            raise _Rejected(400, "both Content-Length and Transfer-Encoding")
+        if head.method not in (b"GET", b"POST"):
+            raise _Rejected(405, "neither GET nor POST")
+        if b"transfer-encoding" in framing and head.method == b"GET":
+            raise _Rejected(400, "GET with a body")
+        if int(framing.get(b"content-length", b"0")) > MAX_BODY:
+            raise _Rejected(413, "body too long")
+        headers = end_to_end(raw)
+        if head.target.partition(b"?")[0] == READY_PATH:
+            return headers, None
+        values: dict[bytes, bytes] = {}
+        for name, value in headers:
+            if name in values:
+                raise _Rejected(400, f"{name.decode()} told twice")
+            if name in _SINGLE:
+                values[name] = value
+        if head.method == b"GET" and framing.get(b"content-length", b"0") != b"0":
+            raise _Rejected(400, "GET with a body")
+        if not _TRACE_ID.fullmatch(values.get(b"x-trace-id", b"")):
+            raise _Rejected(400, "no readable X-Trace-Id")
+        number, cls = self._classes.get(values.get(b"x-qos", b""), (-1, None))
+        if cls is None:
+            raise _Rejected(400, "X-Qos names no class")
+        if cls.repeat == "guarded" and not values.get(b"idempotency-key"):
+            raise _Rejected(400, "no Idempotency-Key, which this class has to have")
+        expires_s = _number(values.get(b"x-expires-in", b""))
+        if not expires_s:
+            raise _Rejected(400, "X-Expires-In is not a number above 0")
+        return headers, Accept(
+            tid="",
+            cls=number,
+            ttl_ns=min(int(expires_s * SECOND), cls.deadline_ns),
+            cost_ns=min(int(_number(values.get(b"x-size-hint", b"")) * 1000), MAX_COST_NS),
+            tenant=self._tenants.get(values.get(b"x-customer", b""), -1),
+            key=_query_value(head.target, "sid"),
+            retry=values.get(b"x-second-try") == b"1",
+        )
 
 
 class Frontend:
     """Lets clients in under a budget of descriptors and sees each connection through."""
 
     def __init__(self, settings: Settings, sidecar: Sidecar, limit: int, memory: int) -> None:
-        self.settings = settings
+        self.heads = Heads(settings)
         self.sidecar = sidecar
         self.budget = BodyBudget(int(memory * BODY_SHARE))
         self.draining = False
@@ -376,7 +374,7 @@
         try:
             # Guards against whoever sends slowly, never ends or says nothing, whatever part is missing.
             async with asyncio.timeout(patience_s) as self._patience:
-                request = await self._read_request()
+                request, arrival = await self._read_request()
         except TimeoutError:
             if self.in_message:
                 await self._reject(408, "the request took too long to come")
@@ -396,26 +394,26 @@
             return False
         self._fresh = False
         self._frontend.busy(self)
-        if request.target.partition(b"?")[0] == READY_PATH:
+        if arrival is None:
             status = 503 if self._frontend.draining else 200
             return await self._answer(Answer(status, TEXT, b"draining\n" if status == 503 else b"ok\n"))
         self.request = request
         self._result = asyncio.get_running_loop().create_future()
-        age_ns = time.monotonic_ns() - self.stream.received_at
-        arrival = read_arrival(self._frontend.settings, request, age_ns)
+        age_ns = time.monotonic_ns() - self.stream.received_at  # its time counts from its last byte
+        arrival = arrival._replace(ttl_ns=max(arrival.ttl_ns - age_ns, 1))
         self._tid = self._frontend.sidecar.take(self, arrival)
         answer = await self._result
         self._tid = None
         self._hold.release()
         return answer is not None and await self._answer(answer)
 
-    async def _read_request(self) -> Request | None:
-        """A whole request that may be passed on; None if the client left instead."""
+    async def _read_request(self) -> tuple[Request | None, Accept | None]:
+        """A whole request that may be passed on, and its event; no request if the client left instead."""
         stream, body = self.stream, bytearray()
         head = await stream.next_event()
         if not isinstance(head, h11.Request):
-            return None
-        check_head(self._frontend.settings, head)
+            return None, None
+        headers, arrival = self._frontend.heads.read(head)
         if stream.http.they_are_waiting_for_100_continue:
             await stream.write(stream.encode(h11.InformationalResponse(status_code=100, headers=[])))
         while isinstance(event := await stream.next_event(), h11.Data):
@@ -424,15 +422,13 @@
             self._hold.grow(len(event.data))
             body += event.data
         if not isinstance(event, h11.EndOfMessage):
-            return None
+            return None, None
         if stream.leftover:
             # Guards against requests hidden behind others: the protocol has one at a time on a connection.
             raise _Rejected(400, "more than one request at a time")
-        headers = end_to_end(head.headers)
-        trace_id = next((v for k, v in headers if k == b"x-trace-id"), None)
-        if trace_id is not None and not self._frontend.claim(trace_id):
+        if arrival is not None and not self._frontend.claim(dict(headers)[b"x-trace-id"]):
             raise _Rejected(409, "the id of another request")
-        return Request(head.method, head.target, headers, bytes(body))
+        return Request(head.method, head.target, headers, bytes(body)), arrival
 
     # --- the answer -----------------------------------------------------------------------------
 
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -238,8 +238,6 @@
             how = How.TIMEOUT
         except OSError:
             how = How.RESET
-            if trip.reused and not trip.answered:
-                self._wary_until = asyncio.get_running_loop().time() + WARY_S
         except h11.ProtocolError as error:
             # Guards against any answer that cannot be told to be whole and this request's own. A connection
             # that ends inside an answer is no spoilt answer but a reset.
@@ -250,6 +248,8 @@
         finally:
             server.unsent.discard(trip)
             await self._close(trip)
+        if how is How.RESET and trip.reused and not trip.answered:
+            self._wary_until = asyncio.get_running_loop().time() + WARY_S
         if trip.verdict is not None:
             how = trip.verdict
         elif not trip.sent and how is not How.MOOT:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -102,6 +102,28 @@
     assert (server.started == paper.now) is cold
 
 
+@pytest.mark.parametrize("lost, taught", [(1, False), (3, True)])
+def test_with_many_calls_a_lone_time_out_tells_of_no_queue(lost, taught):
+    paper = Paper(servers=1)
+    paper.balancer._heard = 1e6
+    for _ in range(lost):
+        tid = paper.accept(cls=1)
+        if paper.history[tid]:
+            paper.answer(tid, 0, how=303, lag=300 * MS)
+    assert (paper.server("s0").wait > 0) is taught
+
+
+def test_with_many_calls_a_server_expected_in_time_goes_before_a_less_loaded_one_that_is_not():
+    paper = Paper(servers=2)
+    slow, quick = paper.server("s1"), paper.server("s0")
+    for many in (0.0, 1e6):
+        paper.balancer._heard = many
+        assert paper.balancer._before(quick, 20.0 * MS, slow, 400.0 * MS, 300 * MS)
+        quick.inflight = 2
+        assert paper.balancer._before(quick, 20.0 * MS, slow, 400.0 * MS, 300 * MS) is (many > 0)
+        quick.inflight = 0
+
+
 def test_with_few_calls_the_first_failure_is_a_verdict():
     paper = Paper(servers=1)
     paper.answer(paper.accept(cls=1), 0, how=305)
@@ -161,6 +183,39 @@
     asyncio.run(main())
 
 
+async def break_next(server, got, reader, writer):
+    """Answer, and drop the connection at the first byte of the next request."""
+    await fine(server, got, reader, writer)
+    await writer.drain()
+    await reader.read(1)
+    writer.transport.abort()
+
+
+def test_while_kept_connections_break_the_last_byte_waits_for_a_sign(monkeypatch):
+    monkeypatch.setattr(upstream, "WARY_HOLD_BACK_S", 5.0)  # it ends with the sign
+
+    async def main():
+        async with place(break_next) as here:
+            assert await here.status(request("a")) == 200
+            here.upstream._wary_until = asyncio.get_running_loop().time() + 60.0
+            for trace in ("b", "c"):
+                assert (await here.ask(request(trace, cls="pay"))).endswith(b"for " + trace.encode())
+            assert here.servers["s0"].connections == 3, "the same attempt went on a new connection"
+
+    asyncio.run(main())
+
+
+def test_a_kept_connection_that_breaks_makes_wary(monkeypatch):
+    async def main():
+        async with place(break_next) as here:
+            assert await here.status(request("a")) == 200
+            assert here.upstream._hold_back_s(0.0) == 0.0
+            assert await here.status(request("b", cls="pay")) in (200, 502)
+            assert here.upstream._hold_back_s(0.0) == upstream.WARY_HOLD_BACK_S
+
+    asyncio.run(main())
+
+
 def test_1xx_answers_ahead_are_passed_over():
     async def early(server, got, reader, writer):
         writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 3)
