--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
@@ -205,6 +206,23 @@
     asyncio.run(main())
 
 
+def test_small_pieces_go_out_at_once_on_both_sides():
+    """A last byte held back waited for the peer's delayed acknowledgement."""
+
+    async def main():
+        async with place(fine) as here:
+            reader, writer = await here.connect()
+            writer.write(request("a"))
+            await read_message(reader)
+            (client,) = here.frontend._clients
+            (rested,) = here.upstream._servers["s0"].resting
+            for stream in (client.stream, rested):
+                assert stream.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            writer.close()
+
+    asyncio.run(main())
+
+
 def test_a_kept_connection_that_breaks_makes_wary(monkeypatch):
     async def main():
         async with place(break_next) as here:
