--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -66,8 +66,8 @@
     """One connection with its h11 state. One coroutine at a time reads or writes."""
 
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER], sock: socket.socket) -> None:
-        # asyncio does this only for sockets made with an explicit protocol number. Without it the kernel keeps
-        # a last small piece back until what went before is acknowledged, which the peer may put off by 40 ms.
+        # asyncio does this only for sockets made with a protocol number. Without it the kernel keeps a last
+        # small piece back until what went before is acknowledged, which the peer may put off by 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.http = h11.Connection(role, max_incomplete_event_size=MAX_HEAD)
         self.sock = sock
