--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -137,6 +137,7 @@
         # With no request taken, in the order of coming: those that never finished one, and those that did.
         self._fresh: dict[_Client, None] = {}
         self._idle: dict[_Client, None] = {}
+        self._lingering: dict[_Client, None] = {}  # had a last answer, and may send on
         self._ids = RecentIds(max(c.deadline_ns for c in settings.classes) / SECOND)
         self._listener: socket.socket
         self._accepting = False
@@ -194,8 +195,11 @@
         return True
 
     def _evict(self) -> bool:
-        """Make room. First goes who has said nothing yet, then who rests between requests, then who takes
-        long to send one; a connection with a request taken never goes, nor one whose bytes wait unread."""
+        """Make room. First goes who has had a last answer, then who has said nothing yet, then who rests
+        between requests, then who takes long to send one. A connection with a request taken never goes, nor
+        one whose bytes wait unread."""
+        for client in self._lingering:
+            return self._put_out(client)
         late = asyncio.get_running_loop().time() - HALF_SENT_OLD_S
         for group in (self._fresh, self._idle):
             for client in group:
@@ -234,6 +238,18 @@
         """It must not be closed to make room."""
         self._fresh.pop(client, None)
         self._idle.pop(client, None)
+        self._lingering.pop(client, None)
+
+    def lingers(self, client: _Client) -> None:
+        """It has had its last answer: it goes first when room is needed.
+
+        Guards against clients that leave the closing to us and keep their side open: each would hold a place
+        for as long as a closing connection is read from.
+        """
+        self.busy(client)
+        if client in self._clients:
+            self._lingering[client] = None
+            self._resume()
 
     def claim(self, trace_id: bytes) -> bool:
         """Whether this is a new request's id."""
@@ -450,9 +466,14 @@
         if stream.recycle():  # not after "close"
             self.in_message = False
             return True
-        await stream.finish()
+        if self._frontend.draining or stream.leftover:  # more may be on its way: see `finish`
+            await self._linger()
         return False
 
+    async def _linger(self) -> None:
+        self._frontend.lingers(self)
+        await self.stream.finish()
+
     async def _reject(self, status: int, reason: str) -> None:
         """Answer what cannot be taken, and close."""
         log.warning("request rejected with %d: %.200s", status, reason)
@@ -465,4 +486,4 @@
                         h11.Response(status_code=status, headers=headers), h11.EndOfMessage()
                     )
                 )
-        await self.stream.finish()
+        await self._linger()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from covetally.net import frontend
-from tests.loopback import fine, place, read_message, request, until
+from covetally.net import frontend, stream
+from tests.loopback import fine, place, read_message, request, traces, until
 
 HIDDEN = request("hidden")
 SMUGGLED = b"0\r\n\r\n" + HIDDEN
@@ -194,3 +194,23 @@
                 assert not here.frontend._evict()
 
     asyncio.run(main())
+
+
+def test_clients_that_leave_the_closing_to_us_hold_no_places(monkeypatch):
+    monkeypatch.setattr(stream, "LINGER_S", 600.0)
+
+    async def main():
+        new = traces()
+        async with place(fine, clients=3) as here:
+            kept = []
+            for ending in ("close", "bad", "close", "bad") * 3:
+                reader, writer = await here.connect()
+                kept.append(writer)
+                more = "Connection: close\r\n" if ending == "close" else "X-Qos: look\r\n"
+                writer.write(request(new(), more=more))
+                status = b" 200 " if ending == "close" else b" 400 "
+                assert status in await read_message(reader)
+            for writer in kept:
+                writer.close()
+
+    asyncio.run(main())
