Tell the own delay from the servers', refuse early under overload, drop who left

A probe at 0.4 core (taken out) showed the order of things: from second 14 on the process uses its whole share, the loop is 20 to 50 ms late, the stretch of all servers goes from 1.4 to 8, connections "fail" (14, 5, 7, 26 a second) though the kernel has them up, 5 of 6 servers are at k = 0 by second 20 and all by 22, 54 to 84 calls are held until their time is up, and then everything is refused, 1,792 of 2,463 with a time and 671 with none, since _pause() is 0 while a trial is out. Tries go up to 2,471 a second. With only those verdicts mended, refusals alone ate the core: 1,200 a second, and the backlog had 1,189 connections of clients that had gone 1.1 s before.

Lines at fault: sidecar._settle (time from submission to callback taken for the server's), upstream.attempt (a time-out of its own before the last byte was "could not connect"), stream.buffer_updated (time in the kernel and the backlog counted as none), balance._pause and _end(..., 0), frontend._accept (eight a turn, however long the turn).

Done: what came last in the kernel is asked of the kernel (TCP_INFO); an answer that lies unread or a connection that is up is no verdict; the module adds its own delay to what it expects, refuses at once what waited while the queue stands, and tells when to come; connections of clients that left are closed unread.

--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -164,6 +164,8 @@
         self._wait = 0.0  # mean wait reported of late
         self._wait_at = now
         self._settle = 4 * min(c.aim_ns for c in classes)  # queues come and go in a few times the aim
+        self._own = 0.0  # this process's own delay of late, between an attempt's submission and its outcome
+        self._own_at = self._prompt_at = now  # the latter: when a request was last read in time
         self._size = float(sum(self._unit)) / len(classes)  # mean size of late
         self._tokens = 1.0 / RETRY_RATIO
         self._trials = 1.0
@@ -210,7 +212,7 @@
         if not known:
             cls = replace(cls, repeat="single_shot")  # of a class never told, repeating may be harmful
         size = float(event.cost_ns) or self._unit[number]
-        call = Call(event, cls, number, now, self._first_try(now, event, cls), size)
+        call = Call(event, cls, number, now, self._first_try(now - event.age_ns, event, cls), size)
         call.give_up = self._give_up(call)
         self._calls[event.tid] = call
         self._size += (size - self._size) * GAIN / 16
@@ -218,12 +220,29 @@
         if now >= call.aim_at and not cls.late_worth:
             # Exception "late retry": its first try's aim has passed; work for it would earn nothing.
             self._end(now, call, self._set.limits.max_retry_after_ns)
+        elif self._swamped(now, event.age_ns):
+            self._end(now, call, self._set.limits.max_retry_after_ns)
         elif self._held:
             self._hold(now, call)  # arrival order: nobody overtakes a waiting call
             self._pump(now)
         else:
             self._dispatch(now, call)
 
+    def _swamped(self, now: int, age: int) -> bool:
+        """Exception "overload": more has come than this process can work through, and this call has waited.
+
+        Guards against a queue of requests that wait to be read, where each is served too late, its client
+        asks again, and all work is wasted. A short burst is served whole; once no request was read promptly
+        for twice the shortest aim, those that waited are refused at once, which costs a fraction of serving
+        them, until one is read promptly again. It ought to catch whatever makes this process slower than
+        what comes: a smaller share of a core, dearer requests, crowds of connections. It could do harm where
+        the ages are wrong, or where pauses are long, regular and no sign of a lack of CPU.
+        """
+        if age < self._pace:
+            self._prompt_at = now
+            return False
+        return now - self._prompt_at > self._settle // 2
+
     def _first_try(self, now: int, event: Accept, cls: RequestClass) -> int:
         """When the client first asked: its retries bear new ids, but look like a call that ended unserved."""
         if not (event.retry if self._set.marks_retry else event.key or event.cost_ns):
@@ -264,6 +283,8 @@
         server = attempt.server
         server.inflight -= 1
         server.used = now
+        self._own += (event.own_ns - self._mean_own(now)) * GAIN / 4 + self._mean_own(now) - self._own
+        self._own_at = now
         self._learn(now, attempt, event)
         if attempt.odds is not None and event.how not in (How.CANCELLED, How.MOOT):
             attempt.odds.note(now, event.how == How.OK and now <= attempt.aim_at, 4 * self._horizon)
@@ -448,6 +469,9 @@
         """Fades without news: a sidecar that refuses all hears nothing, and must not refuse forever."""
         return self._wait * self._settle / (self._settle + now - self._wait_at)
 
+    def _mean_own(self, now: int) -> float:
+        return self._own * self._settle / (self._settle + now - self._own_at)
+
     def _note_wait(self, now: int, wait: float) -> None:
         """The rarer the news, the more each one says: a quiet sidecar has to learn in a few calls."""
         gain = min(GAIN, max(GAIN / 8, (now - self._wait_at) / self._settle))
@@ -734,12 +758,12 @@
         if server is None:
             return False
         if not self._may_go(now, call, server):
-            self._end(now, call, 0)
+            self._end(now, call, self._come_back(now, call))
             return True
         odds = None
         if self._plenty():
             expect -= server.bad * call.cls.aim_ns  # a risk to be avoided in the pick, but no time it takes
-        ratio = 0.0 if trial else expect / max(1, call.aim_at - now)
+        ratio = 0.0 if trial else (expect + self._mean_own(now)) / max(1, call.aim_at - now)
         if ratio > SAFE:
             odds = self._odds[bisect(RATIOS, ratio)]
             if self._hopeless(ratio, odds):
@@ -760,7 +784,16 @@
         return self._random() < min(0.95, 1.0 - 2.0 * hit)
 
     def _pause(self, now: int) -> int:
-        return max(0, min((s.retry_at for s in self._up), default=now) - now)
+        """When a server is due for its next trial; where one is out, that takes about an aim to tell."""
+        return min((self._settle // 4 if s.trial else max(0, s.retry_at - now) for s in self._up), default=0)
+
+    def _come_back(self, now: int, call: Call) -> int:
+        """How long a client should wait: not at all if it could still be served in time, else the longest.
+
+        Guards against retries for which nothing can be earned any more, but which cost as much as others.
+        """
+        in_time = call.cls.late_worth > 0 or now + call.size * self._stretch < call.aim_at
+        return 0 if in_time else self._set.limits.max_retry_after_ns
 
     def _again(self, now: int, call: Call, how: int) -> None:
         """After a failed attempt: another one if class, time and retry budget allow, else the end."""
@@ -771,7 +804,7 @@
                 self._tokens -= 1.0
                 self._send(now, call, server, trial)
                 return
-        self._end(now, call, 0)
+        self._end(now, call, self._come_back(now, call))
 
     # --- ordered hold ---------------------------------------------------------------------------
 
--- a/covetally/interface.py
+++ b/covetally/interface.py
@@ -244,7 +244,8 @@
 
 
 class Accept(NamedTuple):
-    """A client's request; exactly one final answer is owed."""
+    """A client's request; exactly one final answer is owed. Its last byte came to this machine `age_ns` ago:
+    so long it had to wait for this process. `ttl_ns` counts from now."""
 
     tid: str
     cls: int
@@ -253,10 +254,12 @@
     tenant: int = 0
     key: str = ""
     retry: bool = False
+    age_ns: int = 0
 
 
 class Response(NamedTuple):
-    """The one outcome of an attempt. `load` is the server's report, empty if none came."""
+    """The one outcome of an attempt. `load` is the server's report, empty if none came. `lag_ns` is the
+    server's and the network's time, `own_ns` what passed in this process besides."""
 
     tid: str
     how: int
@@ -265,6 +268,7 @@
     attempt: int
     closed: bool
     load: Mapping[str, float] = {}
+    own_ns: int = 0
 
 
 class Begun(NamedTuple):
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -15,14 +15,14 @@
 from covetally.interface import SECOND, Accept, Settings
 from covetally.net.budget import BodyBudget, Exhausted, Hold
 from covetally.net.sidecar import Sidecar
-from covetally.net.stream import MAX_BODY, Answer, Headers, Stream, end_to_end
+from covetally.net.stream import MAX_BODY, Answer, Headers, Stream, end_to_end, tcp_info
 from covetally.net.upstream import Request
 
 log = logging.getLogger(__name__)
 
 READY_PATH = b"/_health"
 BACKLOG = 4096  # a crowd waits here while it is let in
-ACCEPT_BURST = 8  # connections let in at a time; those put out for them close only afterwards
+ACCEPT_BURST = 1 / 16  # of the connections let in at a time: those put out for them close only afterwards
 ACCEPT_PAUSE_S = 0.02  # when the process or the machine has no descriptor left
 RECEIVE_BUFFER = 64 * 1024  # kernel's, for each connection: what lies there unread is already taken
 BODY_SHARE = 1 / 8  # of the memory limit, for bodies on their way in
@@ -133,6 +133,7 @@
         self.budget = BodyBudget(int(memory * BODY_SHARE))
         self.draining = False
         self._limit = limit
+        self._burst = max(8, int(limit * ACCEPT_BURST))
         self._clients: dict[_Client, asyncio.Task[None]] = {}
         # With no request taken, in the order of coming: those that never finished one, and those that did.
         self._fresh: dict[_Client, None] = {}
@@ -164,7 +165,7 @@
         asyncio.get_running_loop().remove_reader(self._listener)
 
     def _accept(self) -> None:
-        for _ in range(ACCEPT_BURST):
+        for _ in range(self._burst):
             if not self._let_in():
                 return
 
@@ -186,6 +187,13 @@
             self._pause()
             asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._resume)
             return False
+        if not tcp_info(sock)[0]:
+            # Guards against a full backlog of clients that gave up while they waited: to read and answer what
+            # they sent, which nobody will see, would make those wait who are still there. It ought to catch
+            # any crowd that connects and leaves. It does harm to a client that closes its side for writing
+            # and still waits for an answer, which the protocol takes for gone as well.
+            sock.close()
+            return True
         sock.setblocking(False)
         client = _Client(self, sock)
         self._fresh[client] = None
@@ -365,7 +373,10 @@
             self.stream.abort()
 
     def _news(self) -> None:
-        if self._tid is not None:
+        if self.stream.closing:
+            self._hang_up()  # as in `_let_in`: nobody is there to see an answer to what has come
+            self.stream.abort()
+        elif self._tid is not None:
             if self.stream.ended:
                 self._hang_up()
         elif not self.in_message and not self.stream.ended:
@@ -406,7 +417,7 @@
             return False
         finally:
             self._patience = None
-        if request is None or self.stream.ended:
+        if request is None or self.stream.ended or self.stream.closing:
             return False
         self._fresh = False
         self._frontend.busy(self)
@@ -416,7 +427,7 @@
         self.request = request
         self._result = asyncio.get_running_loop().create_future()
         age_ns = time.monotonic_ns() - self.stream.received_at  # its time counts from its last byte
-        arrival = arrival._replace(ttl_ns=max(arrival.ttl_ns - age_ns, 1))
+        arrival = arrival._replace(ttl_ns=max(arrival.ttl_ns - age_ns, 1), age_ns=age_ns)
         self._tid = self._frontend.sidecar.take(self, arrival)
         answer = await self._result
         self._tid = None
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -183,8 +183,10 @@
         if not call.over and outcome.answer is not None:
             self._close(call)
             call.exchange.finish(outcome.answer)
-        lag_ns = self._clock.now() - sent_ns
-        event = Response(tid, outcome.how, lag_ns, action.server, number, call.over, outcome.load)
+        passed_ns = self._clock.now() - sent_ns
+        lag_ns = outcome.lag_ns or passed_ns
+        own_ns = max(0, passed_ns - lag_ns)
+        event = Response(tid, outcome.how, lag_ns, action.server, number, call.over, outcome.load, own_ns)
         self._handle(event)
         self._forget(tid, call)
 
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+import sys
 import time
 from collections.abc import Callable, Iterable
 from ipaddress import IPv4Address
@@ -26,9 +27,23 @@
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
     b"transfer-encoding upgrade expect content-length".split()
 )
+ESTABLISHED = 1  # a TCP state, as Linux numbers them
+_STATE, _LAST_RECEIVED = 0, slice(52, 56)  # in Linux's `struct tcp_info`; the latter in ms,
+_TICK_NS = round(time.clock_getres(6) * 1e9)  # by CLOCK_MONOTONIC_COARSE, which has such steps
 _landing = memoryview(bytearray(RECEIVE))  # shared: filled and emptied within one callback
 
 
+def tcp_info(sock: socket.socket) -> tuple[bool, int]:
+    """What the kernel knows of a connection before the event loop does: whether it is up and neither side has
+    closed it, and for how long, in ns, what came last has been here."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_RECEIVED.stop)
+    except OSError:
+        return False, 0
+    lain_ns = int.from_bytes(info[_LAST_RECEIVED], sys.byteorder) * 1_000_000 - _TICK_NS
+    return info[_STATE] == ESTABLISHED, max(0, lain_ns)
+
+
 class Broken(ConnectionError):
     """The connection ended, or said what it must not, where the message should go on."""
 
@@ -72,8 +87,9 @@
         self.http = h11.Connection(role, max_incomplete_event_size=MAX_HEAD)
         self.sock = sock
         self.eof = False
+        self.closing = False  # the kernel has met the end, which is still to be read
         self.lost = False
-        self.received_at = time.monotonic_ns()  # when bytes came last
+        self.received_at = time.monotonic_ns()  # when bytes came last to this machine
         self.on_news: Callable[[], None] | None = None  # told of bytes and of the end
         self._inbox = bytearray()
         self._full = False  # written bytes wait for the kernel
@@ -91,14 +107,21 @@
         return stream
 
     @classmethod
-    async def connect(cls, address: tuple[str, int]) -> Stream:
-        """A new connection to a server; OSError when it does not come up."""
+    async def connect(
+        cls, address: tuple[str, int], on_failure: Callable[[bool], None] | None = None
+    ) -> Stream:
+        """A new connection to a server; OSError when it does not come up.
+
+        `on_failure` is told, before any exception leaves, whether it had come up in the kernel all the same.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
             await asyncio.get_running_loop().sock_connect(sock, address)
             return await cls.open(h11.CLIENT, sock)
         except BaseException:
+            if on_failure is not None:
+                on_failure(tcp_info(sock)[0])
             sock.close()
             raise
 
@@ -113,7 +136,10 @@
         return _landing
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.received_at = time.monotonic_ns()
+        # They may have lain in the kernel, or with their connection in the backlog, while others were served.
+        up, lain_ns = tcp_info(self.sock)
+        self.closing = not up
+        self.received_at = time.monotonic_ns() - lain_ns
         self._inbox += _landing[:nbytes]
         if len(self._inbox) >= READ_AHEAD and not self._paused:
             self._paused = True
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import math
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import partial
@@ -57,11 +58,13 @@
 
 
 class Outcome(NamedTuple):
-    """How an attempt ended. `answer` is there if it settles the request."""
+    """How an attempt ended. `answer` is there if it settles the request; `lag_ns` is what the server took
+    for it, without the time for which this process let it lie."""
 
     how: How
     load: Load
     answer: Answer | None = None
+    lag_ns: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -75,6 +78,7 @@
     load: Load = field(default_factory=dict)
     reused: bool = False
     answered: bool = False  # the head of an answer has come
+    connecting: bool = False  # a connection was asked for, and is not known to have come up
 
 
 class _Rest(NamedTuple):
@@ -192,12 +196,15 @@
                 return stream, self._wake(server, stream).since
         return None
 
-    async def _connect(self, server: _Server) -> Stream:
+    async def _connect(self, server: _Server, trip: _Trip) -> Stream:
+        def failed(came_up: bool) -> None:
+            trip.connecting = not came_up
+
         self._make_room()
         self._open += 1
         try:
             async with asyncio.timeout(self._limits.connect_timeout_ns / 1e9):
-                return await Stream.connect(server.address)
+                return await Stream.connect(server.address, failed)
         except BaseException:
             self._open -= 1
             raise
@@ -228,14 +235,17 @@
         if server is None:
             return Outcome(How.CONNECT_FAILED, {})
         server.unsent.add(trip)
+        began_ns = time.monotonic_ns()
         try:
             async with asyncio.timeout_at(self._clock.loop_time(abandon_ns)):
                 await self._send(server, trip, request, abandon_ns)
-                return await self._receive(server, trip)
+                assert (stream := trip.stream) is not None
+                outcome = await self._receive(server, trip)
+                return outcome._replace(lag_ns=max(0, stream.received_at - began_ns))
         except NoRoom:
             how = How.MOOT  # it says nothing of the server
         except TimeoutError:
-            how = How.TIMEOUT
+            how = self._timed_out(trip)
         except OSError:
             how = How.RESET
         except h11.ProtocolError as error:
@@ -256,6 +266,20 @@
             how = How.CONNECT_FAILED
         return Outcome(how, trip.load)
 
+    def _timed_out(self, trip: _Trip) -> How:
+        """What a time-out says of the server: only what the sockets show, never how late this process ran.
+
+        Guards against a process short of CPU that takes its own delay for its servers': a connection that
+        the kernel has up, or an answer that lies there unread, is no fault of theirs, and one server after
+        the other went out when it was held against them. It ought to catch any pause of this process, be it
+        a slow disk under its log, a machine stopped for a while, or a neighbour on its core. It could do
+        harm with a server whose answers always come in the very last moment: it would not be blamed.
+        """
+        stream = trip.stream
+        if trip.sent:
+            return How.CANCELLED if stream is not None and stream.disturbed() else How.TIMEOUT
+        return How.TIMEOUT if trip.connecting else How.MOOT
+
     async def _send(self, server: _Server, trip: _Trip, request: Request, abandon_ns: int) -> None:
         rested = self._take_rested(server)
         if rested is not None:
@@ -274,7 +298,7 @@
                 await self._close(trip)
                 trip.reused = False
         trip.epoch = server.epoch
-        trip.stream = stream = await self._connect(server)
+        trip.stream = stream = await self._connect(server, trip)
         try:
             await self._write(server, trip, request, abandon_ns, 0.0)
         except Broken:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -134,10 +134,10 @@
 
 @asynccontextmanager
 async def place(
-    *scripts: Script, clients: int = 20, sockets: int = 20, **changes: Any
+    *scripts: Script, clients: int = 20, sockets: int = 20, more: dict[str, Any] | None = None, **changes: Any
 ) -> AsyncIterator[Place]:
     """A sidecar with a server for each script, named s0, s1, ..."""
-    config = settings(**changes)
+    config = settings(**changes, **(more or {}))
     clock = Clock()
     upstream = Upstream(config, frozenset(), clock, sockets)
     sidecar = Sidecar(config, 1, clock, upstream, lambda peer, blob: None, lambda: None)
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,173 @@
+"""A sidecar short of CPU: its own delay is not its servers', and what came too late goes at once."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+from covetally.interface import How, Refuse
+from tests.loopback import answer, fine, place, read_message, request, traces, until
+from tests.support import MS, Paper, settings
+
+
+def outcomes(here):
+    """Every outcome that the module is told, as they come."""
+    told, handle = [], here.balancer._on_response
+
+    def listen(now, event):
+        told.append(event)
+        handle(now, event)
+
+    here.balancer._on_response = listen
+    return told
+
+
+def test_time_in_the_kernel_and_the_backlog_counts_as_the_request_s():
+    async def main():
+        async with place(fine) as here:
+            ages, accept = [], here.balancer._on_accept
+
+            def listen(now, event):
+                ages.append((event.age_ns, event.ttl_ns))
+                accept(now, event)
+
+            here.balancer._on_accept = listen
+            with socket.create_connection(here.address) as client:
+                client.sendall(request(expires="0.8"))
+                time.sleep(0.3)  # the whole process stands still, its listener too
+                client.setblocking(False)
+                got = await asyncio.get_running_loop().sock_recv(client, 4096)
+            assert got.startswith(b"HTTP/1.1 ")
+            (age, ttl) = ages[0]
+            assert age > 200 * MS and ttl <= 800 * MS - age
+
+    asyncio.run(main())
+
+
+def test_the_own_delay_is_not_taken_for_the_server_s():
+    """The answer is there soon, but this process stands still before it gets to read it."""
+
+    async def stand_still(server, got, reader, writer):
+        writer.write(answer(b"quick"))
+        asyncio.get_running_loop().call_soon(time.sleep, 0.2)
+
+    async def main():
+        async with place(stand_still) as here:
+            told = outcomes(here)
+            assert await here.status(request(cls="pay", expires="5")) == 200
+            assert told[0].how == How.OK
+            assert told[0].lag_ns < 150 * MS < told[0].own_ns
+
+    asyncio.run(main())
+
+
+def test_an_answer_that_lies_unread_at_the_time_out_is_no_fault_of_the_server():
+    async def stand_still(server, got, reader, writer):
+        writer.write(answer(b"in time"))
+        time.sleep(0.5)  # past the aim, not the deadline
+
+    async def main():
+        async with place(stand_still) as here:
+            told = outcomes(here)
+            here.balancer._tokens = 0.0  # no further attempt
+            await here.status(request(cls="pay", expires="0.95"))
+            await until(lambda: told)
+            assert told[0].how != How.TIMEOUT
+
+    asyncio.run(main())
+
+
+def test_a_connection_that_came_up_unnoticed_is_no_failed_one():
+    """The kernel has the connection up, but time ran out before this process came to look."""
+
+    async def main():
+        async with place(fine) as here:
+            told = outcomes(here)
+            here.balancer._tokens = 0.0
+            loop = asyncio.get_running_loop()
+            connect = loop.sock_connect
+
+            async def slowly(sock, address):
+                await connect(sock, address)
+                if address == here.servers["s0"].address:
+                    await asyncio.sleep(30.0)  # as if the loop had no turn to spare for it
+
+            loop.sock_connect = slowly
+            await here.status(request(expires="0.3"))
+            await until(lambda: told)
+            assert told[0].how == How.MOOT
+            assert here.balancer._servers["s0"].k
+
+    asyncio.run(main())
+
+
+def test_a_server_that_says_nothing_is_still_a_time_out():
+    async def silent(server, got, reader, writer):
+        await reader.read()
+
+    async def main():
+        async with place(silent) as here:
+            told = outcomes(here)
+            here.balancer._tokens = 0.0
+            await here.status(request(expires="0.2"))
+            await until(lambda: told)
+            assert told[0].how == How.TIMEOUT
+
+    asyncio.run(main())
+
+
+def test_under_a_standing_queue_requests_that_waited_are_refused_at_once_and_told_when_to_come():
+    """Each turn this process stands still for longer than it needs to serve what has come meanwhile."""
+
+    async def main():
+        limits = {"retryAfter": True, "maxRetryAfterNs": 700 * MS}
+        async with place(fine, limits=limits, more={"clients": {"marksRetry": True}}) as here:
+            trace = traces()
+            reader, writer = await here.connect()
+            answers = []
+            end = time.monotonic() + 2.0
+            while time.monotonic() < end:
+                writer.write(request(trace()))
+                time.sleep(0.15)  # longer than a sixteenth of the aim
+                answers.append(await read_message(reader))
+            assert answers[0].startswith(b"HTTP/1.1 200"), "a burst is served"
+            assert answers[-1].startswith(b"HTTP/1.1 503")
+            assert b"retry-after: 0.700" in answers[-1].lower()
+            writer.write(request(trace()))
+            assert (await read_message(reader)).startswith(b"HTTP/1.1 200"), "one read promptly is served"
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_with_all_servers_out_and_a_trial_under_way_clients_are_told_when_to_come():
+    """A refusal without a time draws the next try at once."""
+    paper = Paper(settings(limits={"retryAfter": True, "maxRetryAfterNs": 700 * MS}), servers=1)
+    server = paper.server("s0")
+    server.k, server.trial, paper.balancer._live = 0, True, 0
+    told = paper.feed_accept()
+    assert [type(action) for action in told] == [Refuse]
+    assert told[0].hold_off_ns > 0
+
+
+def test_requests_of_clients_that_have_left_are_not_passed_on():
+    """They wait in the backlog, or on a kept connection, until this process has time: too late for them."""
+
+    async def main():
+        async with place(fine) as here:
+            kept = await here.connect()
+            kept[1].write(request("kept"))
+            await read_message(kept[0])
+            taken = here.sidecar._taken
+            kept[1].write(request("left"))
+            kept[1].get_extra_info("socket").shutdown(socket.SHUT_WR)
+            for number in range(5):
+                with socket.create_connection(here.address) as client:
+                    client.sendall(request(f"gone{number}"))
+            assert await here.status(request("after")) == 200
+            await until(lambda: not here.frontend._clients)
+            assert here.sidecar._taken == taken + 1
+            assert len(here.servers["s0"].got) == 2
+
+    asyncio.run(main())
