--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -5,10 +5,12 @@
 import asyncio
 import socket
 
+import httptools
 import pytest
 
 from covetally.interface import Directory, Entry, How, Response
 from covetally.net import upstream
+from covetally.net.stream import End, ResponseHead, Stream, _Reader
 from tests.loopback import answer, fine, place, read_message, request, traces, until
 from tests.support import MS, Paper, settings
 
@@ -18,6 +20,9 @@
     "two lengths": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
     "two framings": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "no length": b"HTTP/1.1 200 OK\r\n\r\nab",
+    "an encoding within chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "another protocol": b"HTTP/1.1 101 Over\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nab",
+    "another version": b"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nab",
     "negative length": b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nab",
     "3 GB": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 200_000,
     "long chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -322,3 +327,35 @@
     assert name in paper.balancer._servers
     paper.feed(Response(tid, How.CANCELLED, 1, name, 0, True, {}))
     assert name not in paper.balancer._servers
+
+
+def test_a_connection_that_lacks_the_end_of_a_request_carries_no_other():
+    """The server turned it away before its last byte was written: the next one would be read as its rest."""
+
+    async def main():
+        async with place(fine) as here:
+            server = here.upstream._servers["s0"]
+            stream = await Stream.connect(here.servers["s0"].address)
+            trip = upstream._Trip(stream=stream)
+            stream._reader.feed(answer(b"", b"503 Full", b"X-Never-Ran: 1"))
+            head = await stream.next_event()
+            await here.upstream._read_error(server, trip, head)
+            assert trip.verdict == How.FULL
+            assert not server.resting
+            await stream.close()
+
+    asyncio.run(main())
+
+
+def test_answers_read_in_one_piece_or_in_many_are_the_same():
+    whole = b"HTTP/1.1 103 Early\r\n\r\n" + answer(b"abcdef", b"200 OK", b"X-A:", b"X-B:  b ")
+    for size in (1, 7, len(whole)):
+        reader = _Reader(httptools.HttpResponseParser)
+        for at in range(0, len(whole), size):
+            reader.feed(whole[at : at + size])
+        early, head, *parts, end = reader.parts
+        assert (early, end) == (ResponseHead(103, []), End.MESSAGE)
+        assert head.status == 200
+        assert head.headers[1:] == [(b"x-a", b""), (b"x-b", b"b")]
+        assert b"".join(parts) == b"abcdef"
+        assert not reader.surplus
