--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -8,6 +8,7 @@
 import re
 import socket
 import time
+from itertools import islice
 from urllib.parse import parse_qs
 
 import httptools
@@ -38,7 +39,9 @@
 RECEIVE_BUFFER = 64 * 1024  # kernel's, for each connection: what lies there unread is already taken
 BODY_SHARE = 1 / 8  # of the memory limit, for bodies on their way in
 REQUEST_S = 2.2  # from the connection, or a later request's first byte, to its last
-IDLE_S = 4.0  # a connection may rest so long between requests
+IDLE_S = 4.0  # a connection may rest so long between requests,
+REST_SHARE = 1 / 4  # and so many of all may rest at a time
+LOOKS = 8  # at so many resting connections at a time, for one that may be closed
 HALF_SENT_OLD_S = 0.3  # a request that takes longer to come makes room for others when there is none
 WRITE_S = 2.0  # a client that does not take its answer for so long is gone
 ACCEPT_ON_S = 0.45  # after SIGTERM: the platform sends new connections for up to 0.4 s
@@ -146,6 +149,7 @@
         self.budget = BodyBudget(int(memory * BODY_SHARE))
         self.draining = False
         self._limit = limit
+        self._rest_limit = max(1, int(limit * REST_SHARE))
         self._burst = max(8, int(limit * ACCEPT_BURST))
         self._clients: dict[_Client, asyncio.Task[None]] = {}
         # With no request taken, in the order of coming: those that never finished one, and those that did.
@@ -250,10 +254,22 @@
     # --- what connections tell ------------------------------------------------------------------
 
     def idle(self, client: _Client) -> None:
-        """It has no request under way any more: last in the order of those that rest."""
-        if client in self._clients:
-            self._idle[client] = None
-            self._resume()
+        """It has no request under way any more: last in the order of those that rest.
+
+        Of more than may rest, the one that has rested longest is closed. Guards against clients that ask once
+        and keep their connection: they may hold as many as whoever is beside us lets them, and then nobody
+        gets a connection until some have rested for as long as they may. It ought to catch any pool that is
+        larger than its traffic. It costs clients that use more connections in turn than may rest a new one
+        now and then; a request that crosses the close is theirs to send again, as the protocol has it.
+        """
+        if client not in self._clients:
+            return
+        self._idle[client] = None
+        if len(self._idle) > self._rest_limit:
+            longest = next((c for c in islice(self._idle, LOOKS) if c.silent()), None)
+            if longest is not None:
+                self._put_out(longest)
+        self._resume()
 
     def busy(self, client: _Client) -> None:
         """It must not be closed to make room."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -225,3 +225,25 @@
                 writer.close()
 
     asyncio.run(main())
+
+
+def test_of_many_that_ask_once_and_keep_their_connection_those_that_rest_longest_go():
+    """They had all connections there are, each for seconds of rest, and nobody else got one."""
+
+    async def main():
+        async with place(fine, clients=40) as here:
+            trace = traces()
+            kept = [await here.connect() for _ in range(15)]
+            for reader, writer in kept:
+                writer.write(request(trace()))
+                assert (await read_message(reader)).startswith(b"HTTP/1.1 200")
+            for reader, _ in kept[:5]:
+                assert await reader.read() == b"", "closed, long before it had rested its time"
+            for reader, writer in kept[5:]:
+                writer.write(request(trace()))
+                assert (await read_message(reader)).startswith(b"HTTP/1.1 200")
+            await until(lambda: len(here.frontend._clients) == 10)
+            for _, writer in kept:
+                writer.close()
+
+    asyncio.run(main())
