--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -40,6 +40,8 @@
 SAFE = 0.6  # expected time over time left up to which a call is sent without a doubt
 RATIOS = (0.75, 0.9, 1.05, 1.25, 1.6)  # bounds of the classes of expected time over time left
 DOUBT = 20.0  # late calls of a class of ratios that weigh as much as what is supposed without any
+SHUN = 0.25  # failure average of a class on one server past which that server may be shunned for it
+TASTE = 1 / 32  # share of such calls that a shunned server gets all the same, to show that it is well again
 CUT = 0.6  # failure average past which a zone counts as cut off: three failed connections in a row
 TRIAL_RATIO = 0.1  # trials of servers at k = 0 earned by one request
 
@@ -50,7 +52,7 @@
     __slots__ = (
         "name", "zone", "kind", "cell", "up", "started", "inflight", "k", "figure", "trial", "backoff",
         "retry_at", "stretch", "wait", "seen", "bad", "peak", "used", "slot", "refused", "gone",
-        "ceiling", "late",
+        "ceiling", "late", "fails",
     )
 
     def __init__(self, entry: Entry, figure: float) -> None:
@@ -74,6 +76,7 @@
         self.seen = 0  # 0: never heard of, so the fleet's mean stands in
         self.bad = 0.0  # share of late outcomes that were failures
         self.late = 0.0  # share of late outcomes that were time-outs, while they teach nothing else
+        self.fails: dict[int, float] = {}  # by class: share of late outcomes that were failures or time-outs
         self.refused = 0  # connections that failed since the last success
 
     @property
@@ -170,6 +173,7 @@
         self._tokens = 1.0 / RETRY_RATIO
         self._trials = 1.0
         self._noise = 0.0  # share of late outcomes that were failures, all servers
+        self._fails: dict[int, float] = {}  # by class: the same of all servers
         self._odds = [Odds(now) for _ in range(len(RATIOS) + 1)]
         self._cut: dict[int, float] = {}  # share of late connections to a zone that failed
         self._heard = 0.0  # requests of late, decaying over the horizon
@@ -489,6 +493,10 @@
         if how in (How.CANCELLED, How.MOOT):
             return  # withdrawn or never sent: no verdict on the server
         failed = how != How.OK
+        if how not in NEVER_RAN:
+            for fails, gain in ((server.fails, GAIN / 4), (self._fails, GAIN / 16)):
+                share = fails.get(attempt.cls, 0.0)
+                fails[attempt.cls] = share + (failed - share) * gain
         if failed and how != How.TIMEOUT:
             server.bad += (1.0 - server.bad) * GAIN
         elif not failed:
@@ -624,6 +632,8 @@
                 if self._may_probe(now, call, server):
                     return server, True, 0.0
                 continue
+            if self._shuns(server, call):
+                continue
             if server.slot < 0 or (server.started > 0 and self._random() > self._ramp(server, now)):
                 continue
             time = self._expect(server, call, now)
@@ -649,6 +659,20 @@
                 return server, True, 0.0  # growth: calls wait at full budgets, so one passes as a trial
         return best, False, best_time
 
+    def _shuns(self, server: Server, call: Call) -> bool:
+        """Exception "shunned class": the server fails this call's class, and others serve it well.
+
+        Guards against servers that are well but for one kind of request, which the other kinds' answers hide
+        from every verdict on the server as a whole. It ought to catch whatever one class needs and one server
+        lacks, be it time-outs, errors or broken answers. Where all servers fail a class about alike, none is
+        shunned for it. It could do harm where a class is rare and its failures are chance: it then meets
+        fewer servers for a while.
+        """
+        fails = server.fails.get(call.number, 0.0)
+        if fails <= SHUN or fails <= 2.0 * self._fails[call.number] or not self._plenty():
+            return False
+        return self._random() >= TASTE
+
     def _before(self, server: Server, time: float, best: Server, best_time: float, left: int) -> bool:
         """Whether a server drawn is to be preferred to the best so far."""
         if self._plenty() and (time > left) != (best_time > left):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from covetally.interface import Accept, Directory, Fail, Heard, Response, Signal
 from tests.support import MS, Paper, fleet, settings
 
@@ -352,3 +354,30 @@
     sent = paper.balancer.handle(paper.now, event)[0]
     after = paper.balancer.handle(paper.now, Response(event.tid, 301, 5 * MS, sent.server, 0, False, {}))
     assert after == [Fail(event.tid)]
+
+
+@pytest.mark.parametrize("failing, shunned", [(1, True), (4, False)])
+def test_servers_that_fail_one_class_only_are_shunned_for_it_until_they_are_well(failing, shunned):
+    """Their other answers are good, which hid those failures from each verdict on the server."""
+    paper = Paper(settings(clients={"marksRetry": True}), servers=4)
+
+    def share(turns: int, well: bool) -> float:
+        """Of the last half of the calls of class 0, the share that s0 got; class 1 is always served."""
+        met = []
+        for turn in range(turns):
+            paper.balancer._heard = 1e6
+            for cls in (0, 1):
+                tid = paper.accept(cls=cls)
+                if (tid, 0) not in paper.out:
+                    continue  # shed
+                name = paper.out[tid, 0][0]
+                fails = not well and not cls and int(name[1:]) < failing
+                paper.balancer._tokens = 0.0  # no further attempt
+                paper.advance(MS)
+                paper.answer(tid, 0, how=303 if fails and turn % 2 else 100, lag=20 * MS)
+                if not cls and 2 * turn > turns:
+                    met.append(name == "s0")
+        return sum(met) / len(met)
+
+    assert (share(600, well=False) < 0.1) is shunned
+    assert share(2000, well=True) > 0.1
