--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -168,7 +168,8 @@
         self._wait_at = now
         self._settle = 4 * min(c.aim_ns for c in classes)  # queues come and go in a few times the aim
         self._own = 0.0  # this process's own delay of late, between an attempt's submission and its outcome
-        self._own_at = self._prompt_at = now  # the latter: when a request was last read in time
+        self._own_at = now
+        self._late_from = self._late_at = 0  # first and last request read late since one was read in time
         self._size = float(sum(self._unit)) / len(classes)  # mean size of late
         self._tokens = 1.0 / RETRY_RATIO
         self._trials = 1.0
@@ -236,16 +237,20 @@
         """Exception "overload": more has come than this process can work through, and this call has waited.
 
         Guards against a queue of requests that wait to be read, where each is served too late, its client
-        asks again, and all work is wasted. A short burst is served whole; once no request was read promptly
-        for twice the shortest aim, those that waited are refused at once, which costs a fraction of serving
-        them, until one is read promptly again. It ought to catch whatever makes this process slower than
-        what comes: a smaller share of a core, dearer requests, crowds of connections. It could do harm where
-        the ages are wrong, or where pauses are long, regular and no sign of a lack of CPU.
+        asks again, and all work is wasted. A short burst is served whole; once requests have come late, and
+        none promptly, for twice the shortest aim, those that waited are refused at once, which costs a
+        fraction of serving them, until one is read promptly again. It ought to catch whatever makes this
+        process slower than what comes: a smaller share of a core, dearer requests, crowds of connections. It
+        could do harm where the ages are wrong, or where long regular pauses are no sign of a lack of CPU.
         """
         if age < self._pace:
-            self._prompt_at = now
+            self._late_from = 0
             return False
-        return now - self._prompt_at > self._settle // 2
+        patience = self._settle // 2
+        if not self._late_from or now - self._late_at > patience:  # a silence tells of no queue
+            self._late_from = now
+        self._late_at = now
+        return now - self._late_from > patience
 
     def _first_try(self, now: int, event: Accept, cls: RequestClass) -> int:
         """When the client first asked: its retries bear new ids, but look like a call that ended unserved."""
@@ -287,8 +292,8 @@
         server = attempt.server
         server.inflight -= 1
         server.used = now
-        self._own += (event.own_ns - self._mean_own(now)) * GAIN / 4 + self._mean_own(now) - self._own
-        self._own_at = now
+        own = self._mean_own(now)
+        self._own, self._own_at = own + (event.own_ns - own) * GAIN / 4, now
         self._learn(now, attempt, event)
         if attempt.odds is not None and event.how not in (How.CANCELLED, How.MOOT):
             attempt.odds.note(now, event.how == How.OK and now <= attempt.aim_at, 4 * self._horizon)
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -254,7 +254,7 @@
         except NoRoom:
             how = How.MOOT  # it says nothing of the server
         except TimeoutError:
-            how = self._timed_out(trip)
+            how = _timed_out(trip)
         except OSError:
             how = How.RESET
         except Malformed as error:
@@ -275,20 +275,6 @@
             how = How.CONNECT_FAILED
         return Outcome(how, trip.load)
 
-    def _timed_out(self, trip: _Trip) -> How:
-        """What a time-out says of the server: only what the sockets show, never how late this process ran.
-
-        Guards against a process short of CPU that takes its own delay for its servers': a connection that
-        the kernel has up, or an answer that lies there unread, is no fault of theirs, and one server after
-        the other went out when it was held against them. It ought to catch any pause of this process, be it
-        a slow disk under its log, a machine stopped for a while, or a neighbour on its core. It could do
-        harm with a server whose answers always come in the very last moment: it would not be blamed.
-        """
-        stream = trip.stream
-        if trip.sent:
-            return How.CANCELLED if stream is not None and stream.disturbed() else How.TIMEOUT
-        return How.TIMEOUT if trip.connecting else How.MOOT
-
     async def _send(self, server: _Server, trip: _Trip, request: Request, abandon_ns: int) -> None:
         rested = self._take_rested(server)
         if rested is not None:
@@ -428,3 +414,18 @@
             if name in self._load_fields:
                 load[name] = number
         return load
+
+
+def _timed_out(trip: _Trip) -> How:
+    """What a time-out says of the server: only what the sockets show, never how late this process ran.
+
+    Guards against a process short of CPU that takes its own delay for its servers': a connection that
+    the kernel has up, or an answer that lies there unread, is no fault of theirs, and one server after
+    the other went out when it was held against them. It ought to catch any pause of this process, be it
+    a slow disk under its log, a machine stopped for a while, or a neighbour on its core. It could do
+    harm with a server whose answers always come in the very last moment: it would not be blamed.
+    """
+    stream = trip.stream
+    if trip.sent:
+        return How.CANCELLED if stream is not None and stream.disturbed() else How.TIMEOUT
+    return How.TIMEOUT if trip.connecting else How.MOOT
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -171,3 +171,14 @@
             assert len(here.servers["s0"].got) == 2
 
     asyncio.run(main())
+
+
+def test_a_lone_request_that_waited_is_no_queue():
+    """A sidecar with little traffic, or one that has just begun, that stands still for once."""
+    paper = Paper()
+    paper.advance(5_000 * MS)
+    for _ in range(3):
+        tid = paper.accept(age_ns=100 * MS)
+        assert (tid, 0) in paper.out
+        paper.answer(tid, 0)
+        paper.advance(5_000 * MS)
