--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -499,7 +499,7 @@
             return  # withdrawn or never sent: no verdict on the server
         failed = how != How.OK
         if how not in NEVER_RAN:
-            for fails, gain in ((server.fails, GAIN / 2), (self._fails, GAIN / 16)):
+            for fails, gain in ((server.fails, GAIN / 4), (self._fails, GAIN / 16)):
                 share = fails.get(attempt.cls, 0.0)
                 fails[attempt.cls] = share + (failed - share) * gain
         if failed and how != How.TIMEOUT:
