--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -498,8 +498,8 @@
         if how in (How.CANCELLED, How.MOOT):
             return  # withdrawn or never sent: no verdict on the server
         failed = how != How.OK
-        if how not in NEVER_RAN:
-            for fails, gain in ((server.fails, GAIN / 4), (self._fails, GAIN / 16)):
+        if how not in NEVER_RAN and how != How.SPOILT:  # which may come from any server: see "spoilt" below
+            for fails, gain in ((server.fails, GAIN / 2), (self._fails, GAIN / 16)):
                 share = fails.get(attempt.cls, 0.0)
                 fails[attempt.cls] = share + (failed - share) * gain
         if failed and how != How.TIMEOUT:
@@ -669,7 +669,7 @@
 
         Guards against servers that are well but for one kind of request, which the other kinds' answers hide
         from every verdict on the server as a whole. It ought to catch whatever one class needs and one server
-        lacks, be it time-outs, errors or broken answers. Where all servers fail a class about alike, none is
+        lacks, be it time-outs, errors or resets. Where all servers fail a class about alike, none is
         shunned for it. It could do harm where a class is rare and its failures are chance: it then meets
         fewer servers for a while.
         """
