--- /dev/null
+++ b/covetally/control/gauges.py
@@ -0,0 +1,138 @@
+"""What a managed sidecar can tell of itself."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from covetally.net.stream import Answer
+
+if TYPE_CHECKING:
+    from covetally.process import Process
+
+SAMPLE_S = 0.5
+LINES = 100
+REFUSALS = (429, 503)
+
+
+class Ring(logging.Handler):
+    """The last log lines, and the last of them that tell of trouble."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: deque[dict[str, Any]] = deque(maxlen=LINES)
+        self.errors: deque[dict[str, Any]] = deque(maxlen=20)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        line = {"at": record.created, "level": record.levelname, "text": record.getMessage()[:500]}
+        self.lines.append(line)
+        if record.levelno >= logging.WARNING:
+            self.errors.append(line)
+
+
+class Gauges:
+    """Counts final answers by class and samples the loop's lag, from `start` to `stop`."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+        self._classes = [c.name for c in process.config.settings.classes]
+        # served, refused, failed, the client left
+        self._counts = [[0, 0, 0, 0] for _ in self._classes]
+        self._lag_ms = 0.0
+        self._worst_ms = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+        self.ring = Ring()
+        self.started = time.time()
+
+    def start(self) -> None:
+        """Begin to count."""
+        self._process.sidecar.on_final = self._final
+        logging.getLogger().addHandler(self.ring)
+        self._sample_later()
+
+    def stop(self) -> None:
+        """Count no more."""
+        self._process.sidecar.on_final = None
+        logging.getLogger().removeHandler(self.ring)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _final(self, cls: int, answer: Answer | None) -> None:
+        if answer is None:
+            kind = 3
+        elif answer.status == 200:
+            kind = 0
+        else:
+            kind = 1 if answer.status in REFUSALS else 2
+        self._counts[cls][kind] += 1
+
+    def _sample_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._due = loop.time() + SAMPLE_S
+        self._timer = loop.call_at(self._due, self._sample)
+
+    def _sample(self) -> None:
+        self._lag_ms = max(0.0, (asyncio.get_running_loop().time() - self._due) * 1000)
+        self._worst_ms = max(self._worst_ms, self._lag_ms)
+        self._sample_later()
+
+    # --- what is told ---------------------------------------------------------------------------
+
+    def counts(self) -> dict[str, list[int]]:
+        """By class: [served, refused, failed, left] since the start."""
+        return dict(zip(self._classes, map(list, self._counts), strict=True))
+
+    def beat(self) -> dict[str, Any]:
+        """What goes with every heartbeat. The worst lag is of the time since the last one."""
+        worst, self._worst_ms = self._worst_ms, 0.0
+        process = self._process
+        return {
+            "counts": self.counts(),
+            "open": process.sidecar.open,
+            "lag_ms": round(worst, 1),
+            "state": "draining" if process.frontend.draining else "serving",
+        }
+
+    def snapshot(self) -> dict[str, Any]:
+        """All there is to tell."""
+        process, config = self._process, self._process.config
+        return self.beat() | {
+            "pid": os.getpid(),
+            "started": self.started,
+            "memory_kib": _resident_kib(),
+            "listen": "{}:{}".format(*process.address),
+            "limits": {
+                "client_connections": [process.frontend.connections, config.client_connections],
+                "server_connections": [process.upstream.connections, config.server_connections],
+                "body_memory": [config.body_memory - process.frontend.budget.free, config.body_memory],
+                "memory": [_resident_kib() * 1024, config.memory],
+                "max_attempts": config.settings.limits.max_attempts,
+            },
+            "classes": {
+                c.name: {"aim_ms": c.aim_ns / 1e6, "deadline_ms": c.deadline_ns / 1e6, "repeat": c.repeat}
+                for c in config.settings.classes
+            },
+            "nodes": [
+                {
+                    "node": b.server, "up": b.up, "k": b.k, "figure": round(b.figure, 2), "in_flight": b.inflight,
+                    "age_s": round(b.age_ns / 1e9, 1) if b.age_ns >= 0 else None, "trial": b.trial,
+                    "retry_s": round(b.retry_ns / 1e9, 2), "bad": round(b.bad, 3), "refused": b.refused,
+                    "wait_ms": round(b.wait_ns / 1e6, 1), "why": b.why,
+                }
+                for b in process.sidecar.beliefs()
+            ],
+            "errors": list(self.ring.errors),
+        }  # fmt: skip
+
+
+def _resident_kib() -> int:
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") // 1024
+    except (OSError, ValueError, IndexError):  # not Linux
+        return 0
--- /dev/null
+++ b/covetally/control/manager.py
@@ -0,0 +1,335 @@
+"""The sidecar's end of management: keeps a link to the agent and carries out what comes over it.
+
+Management must never cost service: whatever goes wrong here is logged and the sidecar serves on with what it has.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import random
+import secrets
+from importlib.metadata import PackageNotFoundError, version
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from covetally.control import keep, taking
+from covetally.control.gauges import Gauges
+from covetally.control.protocol import HELLO_S, VERSIONS, Decoder, Message, ProtocolError, digest, encode
+from covetally.control.redial import Redial
+from covetally.control.taking import Held, Memory, Step
+from covetally.net.config import ConfigError
+
+if TYPE_CHECKING:
+    from covetally.process import Process
+
+log = logging.getLogger(__name__)
+
+SILENT_BEATS = 3  # an agent that has not answered so many heartbeats, and SILENT_S, is not there
+SILENT_S = 2.0
+MAX_UNSENT = 4 * 1024 * 1024  # an agent that does not read is not there either
+BYE_S = 0.3
+
+
+class Manager:
+    """Created with the process, started when it serves."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+        own = process.own
+        self.name = str(own.get("control.name", process.platform.name))
+        self._labels = {
+            k.removeprefix("control.labels."): v for k, v in own.items() if k.startswith("control.labels.")
+        }
+        self._boot = secrets.token_hex(8)
+        self._path = Path(str(own["control.keep"])) if "control.keep" in own else None
+        self._memory = taking.start(self._recall())
+        self._redial = Redial(0.5, 30.0)
+        self._writer: asyncio.StreamWriter | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._proving: asyncio.TimerHandle | None = None
+        self._writing = asyncio.Lock()
+        self._told_down = False
+        self.gauges: Gauges
+
+    # --- before and after -----------------------------------------------------------------------
+
+    def _recall(self) -> Memory:
+        if self._path is None:
+            return Memory()
+        try:
+            return keep.read(self._path)
+        except ValueError as error:
+            log.error("control.keep: %s: %s: nothing managed is in force", self._path, error)
+            return Memory()
+
+    def at_start(self) -> dict[str, Any]:
+        """The managed settings to start with. The memory is written first: if they kill the process before it
+        has proven them, the next one must know."""
+        if self._path is not None and self._memory.trial is not None:
+            try:
+                keep.write(self._path, self._memory)
+            except OSError as error:
+                log.error("control.keep: %s: starting without what is on trial", error)
+                self._memory = taking.unusable(self._memory, f"control.keep cannot be written: {error}")
+        return dict(self._memory.in_force.values)
+
+    def unusable(self, reason: str) -> dict[str, Any]:
+        """The settings of `at_start` cannot be used; returns what to start with instead."""
+        log.error("revision %d cannot be used any more: %s", self._memory.in_force.revision, reason)
+        self._memory = taking.unusable(self._memory, reason)
+        return dict(self._memory.in_force.values)
+
+    def start(self) -> None:
+        """The sidecar serves: look for the agent."""
+        self.gauges = Gauges(self._process)
+        self.gauges.start()
+        if self._memory.trial is not None:
+            self._prove_later()
+        elif self._memory.failed is not None:
+            asyncio.get_running_loop().create_task(self._keep())
+        self._task = asyncio.create_task(self._run())
+
+    def goodbye(self) -> None:
+        """The sidecar drains and will end."""
+        self._send({"t": "bye", "reason": "ends"})
+
+    async def stop(self) -> None:
+        """End the link. A process that ends in good order has proven its revision."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        self.gauges.stop()
+        if self._proving is not None:
+            self._proving.cancel()
+            await self._proven()
+
+    # --- the link -------------------------------------------------------------------------------
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            values = self._process.values
+            self._redial.least = float(values.get("control.redial_min_s", 0.5))
+            self._redial.most = float(values.get("control.redial_max_s", 30.0))
+            start = loop.time()
+            try:
+                await self._link()
+            except (OSError, ProtocolError, TimeoutError) as error:
+                if not self._told_down:  # once for each time it goes
+                    log.warning("no agent: %s: %s", type(error).__name__, error)
+                self._told_down = True
+            except Exception:  # a bug here costs management, never service
+                log.exception("the link to the agent failed by a bug")
+            self._redial.stood(loop.time() - start)
+            await asyncio.sleep(self._redial.pause(random.random()))
+
+    async def _link(self) -> None:
+        async with asyncio.timeout(HELLO_S):
+            reader, writer = await self._dial()
+        decoder, beats = Decoder(), None
+        try:
+            self._writer = writer
+            self._send(self._hello())
+            async with asyncio.timeout(HELLO_S):
+                messages = await self._read(reader, decoder)
+            first = messages.pop(0)
+            if first["t"] == "deny":
+                raise ProtocolError(f"the agent denies: {first['reason']:.200}")
+            if first["t"] != "welcome" or first["version"] not in VERSIONS:
+                raise ProtocolError(f"the agent answers {first!r:.200}")
+            log.info("managed as %s by the agent at %s", self.name, self._process.own["control.agent"])
+            self._told_down = False
+            beats = asyncio.create_task(self._beat())
+            while True:
+                for message in messages:
+                    await self._handle(message)
+                silence_s = SILENT_BEATS * self._heartbeat_s() + SILENT_S
+                try:
+                    async with asyncio.timeout(silence_s):
+                        messages = await self._read(reader, decoder)
+                except TimeoutError:
+                    raise ProtocolError(f"nothing from the agent for {silence_s:g} s") from None
+        finally:
+            self._writer = None
+            if beats is not None:
+                beats.cancel()
+            writer.transport.abort()
+
+    async def _dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        agent = str(self._process.own["control.agent"])
+        kind, _, where = agent.partition(":")
+        if kind == "unix":
+            return await asyncio.open_unix_connection(where)
+        host, _, port = where.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def _read(self, reader: asyncio.StreamReader, decoder: Decoder) -> list[Message]:
+        while True:
+            data = await reader.read(65536)
+            if not data:
+                raise ConnectionResetError("the agent closed the link")
+            messages = decoder.feed(data)
+            if messages:
+                return messages
+
+    def _send(self, message: Message) -> None:
+        writer = self._writer
+        if writer is None or writer.is_closing():
+            return
+        if writer.transport.get_write_buffer_size() > MAX_UNSENT:
+            writer.transport.abort()
+            return
+        writer.write(encode(message))
+
+    def _hello(self) -> Message:
+        now, memory = self._memory.in_force, self._memory
+        return {
+            "t": "hello", "versions": list(VERSIONS), "name": self.name, "boot": self._boot, "pid": os.getpid(),
+            "version": _version(), "labels": self._labels, "started": self.gauges.started,
+            "revision": now.revision, "digest": now.digest, "values": dict(now.values),
+            "pending": memory.pending.digest if memory.pending else "",
+            "failed": memory.failed.digest if memory.failed else "", "reason": memory.reason,
+            "may_restart": bool(self._process.own.get("control.may_restart", False)),
+            "keeps": self._path is not None, "token": self._token(), "beat": self._beat_message(),
+        }  # fmt: skip
+
+    def _token(self) -> str:
+        path = self._process.own.get("control.token_file")
+        if path is None:
+            return ""
+        try:
+            return Path(str(path)).read_text(encoding="utf-8").partition("\n")[0].strip()
+        except (OSError, ValueError) as error:
+            log.error("control.token_file: %s", error)
+            return ""
+
+    # --- what it tells --------------------------------------------------------------------------
+
+    def _heartbeat_s(self) -> float:
+        return float(self._process.values.get("control.heartbeat_s", 5.0))
+
+    def _beat_message(self) -> Message:
+        memory = self._memory
+        pending = memory.pending.digest if memory.pending else ""
+        return {"t": "beat", "digest": memory.in_force.digest, "pending": pending} | self.gauges.beat()
+
+    async def _beat(self) -> None:
+        while True:
+            # Not all at once, however many sidecars came to the agent in one moment.
+            await asyncio.sleep(self._heartbeat_s() * random.uniform(0.9, 1.1))
+            self._send(self._beat_message())
+
+    # --- what it takes --------------------------------------------------------------------------
+
+    async def _handle(self, message: Message) -> None:
+        match message["t"]:
+            case "apply":
+                self._send(await self._offered(message))
+            case "ask":
+                self._send({"t": "answer", "id": message["id"]} | self._asked(message["what"]))
+            case "do":
+                done = self._do(message["what"])
+                self._send({"t": "answer", "id": message["id"], "error": done} | self._beat_message_plain())
+
+    def _beat_message_plain(self) -> Message:
+        return {"state": "draining" if self._process.frontend.draining else "serving"}
+
+    def _asked(self, what: str) -> dict[str, Any]:
+        if what == "snapshot":
+            now, memory = self._memory.in_force, self._memory
+            managed = {
+                "revision": now.revision, "digest": now.digest, "values": dict(now.values),
+                "on_trial": memory.trial is not None, "settings": self._process.values,
+                "pending": dict(memory.pending.values) if memory.pending else None, "failed": memory.reason,
+            }  # fmt: skip
+            return {"data": self.gauges.snapshot() | {"managed": managed}}
+        if what == "logs":
+            return {"data": list(self.gauges.ring.lines)}
+        return {"error": f"nothing is known as {what:.40}"}
+
+    def _do(self, what: str) -> str:
+        """Carry out an order; empty, or why not."""
+        process = self._process
+        if process.stop.is_set():
+            return "" if what == "restart" else "the sidecar is ending"
+        match what:
+            case "drain":
+                process.frontend.rest(True)
+            case "resume":
+                process.frontend.rest(False)
+            case "restart":
+                if not process.own.get("control.may_restart", False):
+                    return "control.may_restart is not set: nothing would start this sidecar again"
+                log.info("%s restarts at the agent's word", self.name)
+                process.stop.set()
+            case _:
+                return f"nothing is known as {what:.40}"
+        log.info("%s: %s at the agent's word", self.name, what)
+        return ""
+
+    async def _offered(self, message: Message) -> Message:
+        offered = Held(message["revision"], message["digest"], message["values"])
+        problems, restart = self._check(offered)
+        before = self._memory
+        memory, step, reply = taking.offer(before, offered, problems, restart)
+        if step is not Step.NOTHING:
+            try:
+                self._memory = memory
+                await self._keep()
+                if step is Step.APPLY:
+                    self._process.manage(dict(offered.values))
+                    self._prove_later()
+            except (OSError, ConfigError) as error:
+                self._memory = before
+                refusal = {"key": "control.keep", "value": None, "reason": str(error), "remedy": ""}
+                reply = taking.Reply("refused", offered, (refusal,))
+        log.info("revision %d: %s", offered.revision, reply.outcome)
+        return {
+            "t": "ack", "revision": offered.revision, "digest": offered.digest, "outcome": reply.outcome,
+            "errors": list(reply.errors), "keys": list(reply.keys), "held": self._memory.in_force.digest,
+            "keeps": self._path is not None,
+        }  # fmt: skip
+
+    def _check(self, offered: Held) -> tuple[list[dict[str, Any]], list[str]]:
+        """What is wrong with an offer here, and what of it would take a restart."""
+        from covetally.operator import check
+
+        try:
+            values = check.checked(offered.values, managed=True)
+            self._process.try_managed(values)
+        except check.OperatorError as error:
+            return [p.table() for p in error.problems], []
+        if digest(values) != offered.digest:
+            return [{"key": "digest", "value": None, "reason": "is not of these settings", "remedy": ""}], []
+        own = self._process.own
+        return [], check.restart_keys(own | dict(self._memory.in_force.values), own | values)
+
+    async def _keep(self) -> None:
+        if self._path is not None:
+            async with self._writing:
+                await asyncio.to_thread(keep.write, self._path, self._memory)
+
+    def _prove_later(self) -> None:
+        if self._proving is not None:
+            self._proving.cancel()
+        loop = asyncio.get_running_loop()
+        self._proving = loop.call_later(taking.PROVE_S, lambda: loop.create_task(self._proven()))
+
+    async def _proven(self) -> None:
+        self._proving = None
+        self._memory = taking.proven(self._memory)
+        try:
+            await self._keep()
+        except OSError as error:
+            log.error("control.keep: %s", error)
+
+
+def _version() -> str:
+    try:
+        return version("covetally")
+    except PackageNotFoundError:
+        return "unknown"
--- /dev/null
+++ b/covetally/fleet/document.py
@@ -0,0 +1,92 @@
+"""The desired settings of the whole fleet: layers of settings, each for the instances that its selector means.
+
+A document is what one revision holds. The layer for all is first; where two layers set a key for an instance, the
+later one wins, and layers stay in the order in which they were first made. A change replaces one layer.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from covetally.control.protocol import digest
+from covetally.fleet.selector import Selector, parse
+from covetally.operator.schema import Value, Values
+
+
+@dataclass(frozen=True, slots=True)
+class Layer:
+    """Settings by dotted key for the instances that a selector means."""
+
+    selector: Selector
+    values: Mapping[str, Value]
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """The layers, the one for all first if there is one."""
+
+    layers: tuple[Layer, ...] = ()
+
+    def layer(self, selector: Selector) -> Values:
+        """What the layer of exactly this selector sets, empty if there is none."""
+        return next((dict(x.values) for x in self.layers if x.selector == selector), {})
+
+    def replaced(self, selector: Selector, values: Mapping[str, Value]) -> Document:
+        """The document with one layer replaced; a layer without settings is none."""
+        layers = [x for x in self.layers if x.selector != selector or values]
+        at = next((i for i, x in enumerate(layers) if x.selector == selector), None)
+        if at is not None:
+            layers[at] = Layer(selector, dict(values))
+        elif values:
+            layers.insert(0 if not selector.terms else len(layers), Layer(selector, dict(values)))
+        return Document(tuple(layers))
+
+    def effective(self, name: str, labels: Mapping[str, str]) -> Values:
+        """What an instance is to have, keys in order."""
+        merged: Values = {}
+        for layer in self.layers:
+            if layer.selector.matches(name, labels):
+                merged.update(layer.values)
+        return dict(sorted(merged.items()))
+
+    def origin(self, name: str, labels: Mapping[str, str]) -> dict[str, str]:
+        """For each key of `effective`, the selector of the layer that gives it."""
+        found: dict[str, str] = {}
+        for layer in self.layers:
+            if layer.selector.matches(name, labels):
+                found.update(dict.fromkeys(layer.values, str(layer.selector)))
+        return found
+
+    def digest(self) -> str:
+        """What the document is known by."""
+        return digest({"layers": self.table()})
+
+    def table(self) -> list[dict[str, Any]]:
+        """For the store and the API."""
+        return [{"selector": str(x.selector), "values": dict(sorted(x.values.items()))} for x in self.layers]
+
+    def text(self) -> str:
+        """The table as JSON."""
+        return json.dumps(self.table(), separators=(",", ":"))
+
+
+def from_table(table: list[dict[str, Any]]) -> Document:
+    """A document from its table."""
+    return Document(tuple(Layer(parse(x["selector"]), x["values"]) for x in table))
+
+
+def difference(old: Document, new: Document) -> list[dict[str, Any]]:
+    """Every key that differs, layer by layer: {selector, key, old, new}, None where it is not set."""
+    found = []
+    selectors = dict.fromkeys([x.selector for x in (*old.layers, *new.layers)])
+    for selector in selectors:
+        before, after = old.layer(selector), new.layer(selector)
+        for key in sorted({*before, *after}):
+            if before.get(key) != after.get(key):
+                found.append(
+                    {"selector": str(selector), "key": key, "old": before.get(key), "new": after.get(key)}
+                )
+    return found
--- a/covetally/operator/check.py
+++ b/covetally/operator/check.py
@@ -99,6 +99,13 @@
             deadline = flat.get(name.removesuffix("aim_ms") + "deadline_ms")
             if deadline is not None and value > deadline:
                 problems.append(Problem(name, value, "is after the class's deadline", f"at most {deadline}"))
+    least, most = flat.get("control.redial_min_s", 0.5), flat.get("control.redial_max_s", 30.0)
+    if least > most:
+        problems.append(Problem("control.redial_min_s", least, "is above redial_max_s", f"at most {most}"))
+    alone = [n for n in flat if n.startswith("control.") and (key := schema.find(n)) and not key.managed]
+    if alone and "control.agent" not in flat:
+        reason = "means nothing without control.agent"
+        problems.append(Problem(alone[0], flat[alone[0]], reason, "name the agent to dial, or leave it out"))
     return problems
 
 
--- a/covetally/operator/schema.py
+++ b/covetally/operator/schema.py
@@ -103,6 +103,21 @@
     Key("discovery.address", "address", "where the list of nodes is asked for"),
     Key("process.listen", "address", "where clients connect", live=False),
     Key("process.backlog", "whole", "connections that may wait to be let in", "4096", 16, 65_535, live=False),
+    Key("control.agent", "endpoint", "the agent to dial; without it nothing manages this sidecar",
+        "none", live=False, managed=False),
+    Key("control.name", "name", "the name told to the agent", "the sidecar's name", live=False, managed=False),
+    Key("control.token_file", "path", "a file whose first line is the token told to the agent",
+        "none", live=False, managed=False),
+    Key("control.keep", "path", "a file in which the last good revision outlives the process",
+        "none", live=False, managed=False),
+    Key("control.may_restart", "switch",
+        "whether the agent may end this process: something has to start it again", "false",
+        live=False, managed=False),
+    Key("control.heartbeat_s", "number", "how often the agent is told of counters and health", "5", 0.2, 3600),
+    Key("control.redial_min_s", "number", "first pause before the agent is dialled again", "0.5", 0.05, 600),
+    Key("control.redial_max_s", "number", "longest pause before the agent is dialled again", "30", 0.05, 3600),
+    Key("control.labels.*", "name", "a label that selectors can match, as zone = \"milano\"",
+        "none", live=False, managed=False),
 )  # fmt: skip
 
 _BY_NAME = {key.name: key for key in KEYS}
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -25,6 +25,7 @@
 from covetally.net.upstream import Upstream
 
 if TYPE_CHECKING:
+    from covetally.control.manager import Manager
     from covetally.operator.schema import Values
 
 log = logging.getLogger("covetally")
@@ -36,15 +37,22 @@
 class Process:
     """A sidecar from its configuration to its end.
 
-    What is in force is the platform's configuration with the operators' file over it. Both are read again on
-    SIGHUP.
+    What is in force is the platform's configuration, with the operators' file over it, and over that what an
+    agent has set. `platform` and `own` are read again on SIGHUP; `managed` is the agent's.
     """
 
     def __init__(self, env: Mapping[str, str], operator: str | None) -> None:
         self._env, self._operator = env, operator
         self.platform = load(env)
         self.own = self._read_operator()
-        self.config = config = self._effective(self.platform, self.own)
+        self.managed: Values = {}
+        self.manager: Manager | None = None
+        if "control.agent" in self.own:
+            from covetally.control.manager import Manager
+
+            self.manager = Manager(self)
+            self.managed = self.manager.at_start()
+        self.config = config = self._first()
         self.stop = asyncio.Event()
         clock, settings = Clock(), config.settings
         self.upstream = Upstream(settings, config.load_fields, clock, config.server_connections)
@@ -55,6 +63,20 @@
         )
         self.frontend = Frontend(settings, self.sidecar, config.client_connections, config.body_memory)
 
+    def _first(self) -> Config:
+        """The configuration to start with. What an agent has set must not keep a sidecar from starting."""
+        while self.manager is not None and self.managed:
+            try:
+                return self._effective(self.platform, self.own, self.managed)
+            except ConfigError as error:
+                self.managed = self.manager.unusable(str(error))
+        return self._effective(self.platform, self.own, {})
+
+    @property
+    def values(self) -> Values:
+        """The operators' settings in force, the agent's over those of the file."""
+        return self.own | self.managed
+
     def _read_operator(self) -> Values:
         if self._operator is None:
             return {}
@@ -65,14 +87,14 @@
         except check.OperatorError as error:
             raise ConfigError(f"{self._operator}: {error}") from None
 
-    def _effective(self, platform: Config, own: Values) -> Config:
-        """The configuration that these two make; ConfigError if it cannot be used."""
-        if not own:
+    def _effective(self, platform: Config, own: Values, managed: Values) -> Config:
+        """The configuration that these three make; ConfigError if it cannot be used."""
+        if not own and not managed:
             return platform
         from covetally.operator import check, tune
 
         try:
-            return replace(platform, **tune.changes(platform.settings, own))
+            return replace(platform, **tune.changes(platform.settings, own | managed))
         except check.OperatorError as error:
             raise ConfigError(str(error)) from None
 
@@ -89,6 +111,8 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         if early.is_set():
             self.reload()
+        if self.manager is not None:
+            self.manager.start()
         await self.stop.wait()
         await self._end()
 
@@ -121,9 +145,13 @@
 
     async def _end(self) -> None:
         log.info("%s drains", self.config.name)
+        if self.manager is not None:
+            self.manager.goodbye()
         longest = max(c.deadline_ns for c in self.platform.settings.classes)  # a call may be older than a change
         await self.frontend.drain(longest / SECOND + DRAIN_SPARE_S)
         self.discovery.stop()
+        if self.manager is not None:
+            await self.manager.stop()
         log.info("%s ends", self.config.name)
 
     # --- changes under way ----------------------------------------------------------------------
@@ -135,7 +163,7 @@
             if platform.settings != self.platform.settings:
                 log.warning("reload: settings has changed, which takes a restart")
                 platform = replace(platform, settings=self.platform.settings)
-            config = self._effective(platform, own)
+            config = self._effective(platform, own, self.managed)
         except ConfigError as error:
             log.error("reload: %s: the old configuration stays", error)
             return
@@ -143,6 +171,19 @@
         self._adopt(config)
         log.info("%s has taken up its configuration anew", self.config.name)
 
+    def manage(self, managed: Values) -> None:
+        """Take up what the agent has set, in place of what it had; ConfigError, and nothing changed, if this
+        sidecar cannot use it."""
+        config = self._effective(self.platform, self.own, managed)
+        self.managed = managed
+        self._adopt(config)
+
+    def try_managed(self, managed: Values) -> None:
+        """OperatorError if this sidecar could not use what the agent wants; nothing changes."""
+        from covetally.operator import tune
+
+        tune.changes(self.platform.settings, self.own | managed)
+
     def _adopt(self, config: Config) -> None:
         for name in FIXED:
             if getattr(config, name) != getattr(self.config, name):
