--- a/covetally/fleet/rollout.py
+++ b/covetally/fleet/rollout.py
@@ -389,8 +389,11 @@
 
     def _late(self, now: float, member: Member) -> list[Action]:
         """A rollout that has ended learns that a member has it after all."""
-        over = self.phase in (Phase.DONE, Phase.INCOMPLETE) and self.kind == "change"
-        if over and member.has == member.target and not member.holds:
+        if self.kind == "restart" or member.holds:
+            return self._take_actions()
+        if self.phase is Phase.UNDONE and member.has == member.before and member.state is not State.UNDONE:
+            self._set(now, member, State.UNDONE)
+        elif self.phase in (Phase.DONE, Phase.INCOMPLETE) and member.has == member.target:
             self._took(now, member)
             if self.phase is Phase.INCOMPLETE and not self.missing():
                 self._end(Phase.DONE, "the last of them took it later")
@@ -412,6 +415,8 @@
     def _undo_seen(self, now: float, member: Member) -> None:
         if member.has == member.before and not member.holds:
             self._set(now, member, State.UNDONE)
+        elif member.state is State.RESTARTING and member.boot == member.told_boot:
+            self._again(now, member, State.NEEDS_RESTART)
         else:
             self._again(now, member, State.PENDING)
 
@@ -470,12 +475,10 @@
                 return
             if member.wave > self.wave and not undoing:
                 continue
-            if member.state is State.NEEDS_RESTART and self.plan.restart and member.keeps and not undoing:
+            if self._will_restart(member):
                 out += self._restart(now, member)
             elif member.state is State.PENDING:
-                if not member.connected:
-                    self._set(now, member, State.UNREACHABLE, "not connected")
-                elif self.kind == "restart":
+                if not member.connected or self.kind == "restart":
                     out += self._restart(now, member)
                 elif member.has == member.target and not member.holds and not undoing:
                     self._took(now, member)
@@ -486,6 +489,9 @@
                     out += 1
 
     def _restart(self, now: float, member: Member) -> int:
+        if not member.connected:
+            self._set(now, member, State.UNREACHABLE, "not connected")
+            return 0
         member.told_boot = member.boot
         member.tries += 1
         self._set(now, member, State.RESTARTING)
@@ -496,12 +502,15 @@
         for member in self.members.values():
             if member.wave > self.wave and self.phase is not Phase.UNDOING:
                 continue
-            if member.state in (State.PENDING, *OUT):
+            if member.state in (State.PENDING, *OUT) or self._will_restart(member):
                 return False
             if member.state is State.UNREACHABLE and not self._given_up(member):
                 return False
         return True
 
+    def _will_restart(self, member: Member) -> bool:
+        return member.state is State.NEEDS_RESTART and self.plan.restart and member.keeps
+
     def _too_many_refused(self) -> bool:
         refused = self._count(State.REFUSED) - self.forgiven
         return bool(self.plan.max_refused) and refused > self.plan.max_refused
