--- a/covetally/cli/main.py
+++ b/covetally/cli/main.py
@@ -9,6 +9,7 @@
 
 import click
 
+from covetally.cli import fleet
 from covetally.operator import check as operator_check
 
 BAD_INPUT = 2
@@ -26,10 +27,15 @@
 def main() -> None:
     """Look after cindersail sidecars.
 
-    Exit status: 0 all is well, 1 something did not hold, 2 the input cannot be used.
+    Exit status: 0 all is well, 1 something did not hold or some did not take it, 2 the input cannot be used,
+    3 conflict, 4 the agent cannot be reached, 5 not allowed.
     """
 
 
+for _command in fleet.COMMANDS:
+    main.add_command(_command)
+
+
 @main.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--json", "as_json", is_flag=True, help="For machines.")
@@ -83,3 +89,7 @@
 def completion(shell: str) -> None:
     """Print the line that turns on completion; put it into the SHELL's start-up file."""
     click.echo(_SCRIPTS[shell])
+
+
+if __name__ == "__main__":
+    main(prog_name="cindersail")
--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -247,6 +247,8 @@
                 "pending": dict(memory.pending.values) if memory.pending else None, "failed": memory.reason,
             }  # fmt: skip
             return {"data": self.gauges.snapshot() | {"managed": managed}}
+        if what == "ping":
+            return {}
         if what == "logs":
             return {"data": list(self.gauges.ring.lines)}
         return {"error": f"nothing is known as {what:.40}"}
--- /dev/null
+++ b/covetally/fleet/agent.py
@@ -0,0 +1,876 @@
+"""The agent: puts the store, the links and the rollouts together and carries out what they decide.
+
+Everything that happens is first taken in by the modules without I/O, then written to the store in one
+transaction, and only then sent. So an agent that is killed at any moment has told nobody what its store does not
+say, and after its next start asks each instance what it has.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from covetally.control.protocol import Message, digest
+from covetally.fleet import registry, rollout
+from covetally.fleet.audit import Audit
+from covetally.fleet.document import Document, Layer, difference
+from covetally.fleet.links import Link
+from covetally.fleet.registry import Instance
+from covetally.fleet.rollout import Member, Phase, Plan, Restart, Rollout, Send, State, UndoWanted
+from covetally.fleet.selector import Selector, parse
+from covetally.fleet.store import Revision, RolloutRow, Store
+from covetally.operator import check
+from covetally.operator.schema import Values
+
+log = logging.getLogger(__name__)
+
+BATCH_S = 0.005  # what happens within so long is written in one transaction
+ASK_S = 5.0
+PING_S = 2.0
+RECOVER_S = 10.0  # an agent whose store is new listens so long for what instances have
+TELL_S = 0.2  # watchers are told of a rollout no more often
+MAX_ENDED = 50  # ended rollouts that are kept in memory, for those that come back late
+
+
+class Refused(Exception):
+    """The agent does not do what an operator asks. `code` is conflict, busy, bad_input, unknown or recovering;
+    `data` has what the operator needs to know."""
+
+    def __init__(self, code: str, text: str, **data: Any) -> None:
+        super().__init__(text)
+        self.code, self.data = code, data
+
+
+@dataclass(slots=True)
+class Running:
+    """A rollout and the row that it is stored in."""
+
+    rollout: Rollout
+    row: RolloutRow
+    selector: Selector
+    queued: bool = False
+
+    @property
+    def active(self) -> bool:
+        """Whether it has not ended."""
+        return not self.rollout.ended
+
+    def table(self, now: float, whole: bool = False) -> dict[str, Any]:
+        """For the API."""
+        r, row = self.rollout, self.row
+        table = {
+            "number": r.number, "kind": r.kind, "revision": row.revision, "undo_revision": row.undo_revision,
+            "selector": row.selector, "author": row.author, "reason": row.reason, "at": row.at,
+            "phase": "queued" if self.queued else r.phase.value, "why": r.reason, "wave": r.wave + 1,
+            "waves": r.waves, "spent": round(r.spent(now), 1), "members": len(r.members), "counts": r.counts(),
+            "missing": [
+                {"name": m.name, "state": m.state.value, "detail": m.detail, "errors": m.errors}
+                for m in r.missing()
+            ],
+        }  # fmt: skip
+        if whole:
+            table["states"] = {m.name: m.state.value for m in r.members.values()}
+        return table
+
+
+class Agent:
+    """One agent over one store. `restarter` restarts an instance, False if it supervises none of that name."""
+
+    def __init__(
+        self,
+        store: Store,
+        audit: Audit,
+        admits: Callable[[str, str], bool] | None = None,
+        recover_s: float = RECOVER_S,
+    ) -> None:
+        self._store, self._audit = store, audit
+        self._recover_s = recover_s
+        self._admits = admits
+        self.instances: dict[str, Instance] = {
+            name: registry.from_row(name, row) for name, row in store.instances().items()
+        }
+        self._running: dict[int, Running] = {}
+        self._dirty: set[str] = set()
+        self._todo: list[tuple[Running, Any]] = []
+        self._flush_timer: asyncio.TimerHandle | None = None
+        self._tick_timer: asyncio.TimerHandle | None = None
+        self._asked: dict[int, tuple[str, asyncio.Future[Message]]] = {}
+        self._next_ask = 0
+        self.restarter: Callable[[str], bool] = lambda name: False
+        self.supervised: Callable[[], list[dict[str, Any]]] = list
+        self.watchers: set[asyncio.Queue[dict[str, Any]]] = set()
+        self._changed: set[int] = set()  # rollouts that watchers have not been told of
+        self._tell_timer: asyncio.TimerHandle | None = None
+        self.started = time.time()
+        self._recover_until = 0.0
+        self.recovered = store.get("recovered") == "yes"
+        self._opened = False
+
+    # --- beginning and end ----------------------------------------------------------------------
+
+    def open(self) -> None:
+        """Go on from the store. Call it in the running loop, before anybody is let in."""
+        now = self._now()
+        if self._store.new and self._recover_s > 0:
+            self._recover_until = now + self._recover_s
+            asyncio.get_running_loop().call_later(self._recover_s, self._recover)
+        for row in reversed(self._store.rollouts(limit=MAX_ENDED)):
+            found = rollout.from_tables(row.number, row.head, self._store.members(row.number), now)
+            queued = bool(row.head.get("queued"))
+            self._running[row.number] = Running(found, row, parse(row.selector), queued)
+        for running in list(self._running.values()):
+            if running.active and not running.queued:
+                self._do(running, running.rollout.start(now))
+        self._opened = True
+        self._audit.write("agent", "start", revision=self._store.head().number)
+        self.flush()
+
+    def close(self) -> None:
+        """Write what is not written."""
+        self.flush()
+        for timer in (self._flush_timer, self._tick_timer, self._tell_timer):
+            if timer is not None:
+                timer.cancel()
+
+    def _now(self) -> float:
+        return time.monotonic()
+
+    # --- instances: Owner's side of links --------------------------------------------------------
+
+    def admit(self, link: Link, hello: Message) -> str | None:
+        """See `links.Owner`."""
+        if link.tcp and (self._admits is None or not self._admits(str(hello.get("token", "")), link.name)):
+            return "its token does not let it in under this name"
+        known = self.instances.get(link.name)
+        if known is not None and known.link is not None and not known.link.closed:
+            if known.boot == hello["boot"]:
+                known.link.end("the instance has dialled again")
+            else:
+                # Two that claim one name, or one whose old link is dead without a sign: the old one is asked.
+                asyncio.get_running_loop().create_task(self._contest(known, link))
+                return None
+        self._let_in(link)
+        return None
+
+    async def _contest(self, known: Instance, link: Link) -> None:
+        old = known.link
+        try:
+            await self._ask(known, {"t": "ask", "what": "ping"}, PING_S)
+        except Refused:
+            if old is not None:
+                old.end("silent while another came under its name")
+            if not link.closed:
+                self._let_in(link)
+            return
+        self._audit.write(link.name, "denied", why="the name is in use", pid=link.hello.get("pid"))
+        link.deny(f"the name {link.name} is in use by pid {known.pid}, which answers")
+
+    def _let_in(self, link: Link) -> None:
+        hello = link.hello
+        instance = self.instances.get(link.name)
+        if instance is None:
+            instance = self.instances[link.name] = Instance(link.name)
+        old, instance.link = instance.link, link
+        if old is not None and not old.closed:
+            old.end("another link of the same instance")
+        instance.labels = registry.sane_labels(hello["labels"])
+        instance.boot, instance.pid, instance.version = hello["boot"], hello["pid"], hello["version"][:63]
+        instance.revision, instance.values = hello["revision"], hello["values"]
+        instance.keeps, instance.may_restart = bool(hello.get("keeps")), bool(hello.get("may_restart"))
+        instance.left, instance.note = "", ""
+        instance.history.clear()
+        instance.due = (-1, "")  # its labels may be others
+        instance.offered = ("", "")
+        pending = str(hello.get("pending", ""))
+        beat = {"digest": hello["digest"], "pending": pending, "counts": {}, "state": "serving"}
+        instance.beat(self._now(), time.time(), beat)
+        link.welcome()
+        self._dirty.add(instance.name)
+        failed, reason = str(hello.get("failed", "")), str(hello.get("reason", ""))[:500]
+        for running in self._running.values():
+            if instance.name in running.rollout.members and not running.queued:
+                actions = running.rollout.connected(
+                    self._now(), instance.name, instance.boot, instance.digest, instance.holds, failed, reason
+                )
+                self._do(running, actions)
+        self._place(instance, failed, reason)
+        self._tell({"instance": instance.name, "connected": True})
+
+    def received(self, link: Link, message: Message) -> None:
+        """See `links.Owner`."""
+        instance = self.instances.get(link.name)
+        if instance is None or instance.link is not link:
+            return
+        now = self._now()
+        match message["t"]:
+            case "beat":
+                instance.beat(now, time.time(), message)
+                link.send({"t": "seen"})
+                for running in self._of(instance):
+                    totals = instance.totals()
+                    self._do(
+                        running,
+                        running.rollout.beat(now, instance.name, instance.digest, instance.holds, *totals),
+                    )
+                self._place(instance)
+            case "ack":
+                self._acked(instance, message)
+            case "answer":
+                name, future = self._asked.get(message["id"], ("", None))
+                if name == instance.name and future is not None and not future.done():
+                    future.set_result(message)
+            case "bye":
+                instance.left = str(message["reason"])[:200] or "ended"
+                for running in self._of(instance):
+                    self._do(running, running.rollout.left(now, instance.name, instance.left))
+                self._dirty.add(instance.name)
+                self._soon()
+
+    def _acked(self, instance: Instance, message: Message) -> None:
+        outcome, offered = message["outcome"], message["digest"]
+        errors = [e for e in message.get("errors", []) if isinstance(e, dict)][:50]
+        keys = [str(k) for k in message.get("keys", [])][:50]
+        instance.digest, instance.keeps = message["held"], bool(message.get("keeps"))
+        instance.holds = offered if outcome == "needs_restart" else ""
+        if outcome != "took":
+            instance.answered = (instance.boot, offered)
+        if outcome == "took":
+            instance.revision, instance.note = message["revision"], ""
+        elif outcome == "refused":
+            text = "; ".join(f"{e.get('key')}: {e.get('reason')}" for e in errors)
+            instance.note = f"refused revision {message['revision']}: {text}"[:500]
+        else:
+            instance.note = f"revision {message['revision']} waits for a restart: {', '.join(keys)}"[:500]
+        self._dirty.add(instance.name)
+        for running in self._of(instance):
+            actions = running.rollout.acked(
+                self._now(), instance.name, offered, outcome, instance.digest, errors, keys, instance.keeps
+            )
+            self._do(running, actions)
+        self._soon()
+
+    def ended(self, link: Link, reason: str) -> None:
+        """See `links.Owner`."""
+        instance = self.instances.get(link.name)
+        if instance is None or instance.link is not link:
+            return
+        instance.link = None
+        for running in self._of(instance):
+            self._do(running, running.rollout.lost(self._now(), instance.name, reason))
+        self._dirty.add(instance.name)
+        self._soon()
+        self._tell({"instance": instance.name, "connected": False, "reason": reason})
+
+    def _of(self, instance: Instance) -> list[Running]:
+        """The rollouts that an instance is in and that may still have to know of it."""
+        return [r for r in self._running.values() if not r.queued and instance.name in r.rollout.members]
+
+    # --- what an instance in no rollout is to have -------------------------------------------------
+
+    def _place(self, instance: Instance, failed: str = "", reason: str = "") -> None:
+        """Bring an instance that no rollout is at work on to what it was last told, or join it to one."""
+        if not self._opened or self._recovering() or not instance.connected:
+            return
+        if instance.assigned < 0:
+            instance.assigned = int(self._store.get("settled", "0"))
+            self._dirty.add(instance.name)
+            for running in list(self._running.values()):
+                r, meant = running.rollout, running.selector.matches(instance.name, instance.labels)
+                going = running.active and not running.queued and r.phase is not Phase.UNDOING
+                if going and r.kind == "change" and meant:
+                    self._do(running, r.join(self._now(), self._member(instance, running.row.revision, 0)))
+        if any(r.active and instance.name in r.rollout.members for r in self._running.values()):
+            return
+        if instance.due[0] != instance.assigned:
+            instance.due = (instance.assigned, str(self.wanted(instance).get("digest", "")))
+        wanted = instance.due[1]
+        if wanted == failed:
+            instance.note = f"revision {instance.assigned}: {reason}"
+            self._dirty.add(instance.name)
+            instance.answered = (instance.boot, wanted)
+        if not wanted:
+            return
+        if instance.digest == wanted and not instance.holds:
+            if instance.note and not failed:
+                instance.note = ""
+                self._dirty.add(instance.name)
+                self._soon()
+            return
+        if (instance.boot, wanted) in (instance.offered, instance.answered):
+            return  # once to each link; and what this process refused, or waits with, it would refuse again
+        instance.offered = (instance.boot, wanted)
+        log.info("%s is brought to revision %d", instance.name, instance.assigned)
+        self._offer(instance, instance.assigned)
+
+    # --- recovery of a lost store -----------------------------------------------------------------
+
+    def _recovering(self) -> bool:
+        return self._now() < self._recover_until
+
+    def _recover(self) -> None:
+        """The store was new: what instances report becomes the desired state."""
+        self._recover_until = 0.0
+        reports = {i.name: i for i in self.instances.values() if i.connected and i.revision > 0}
+        if reports and self._store.head().number == 0:
+            by_digest: dict[str, list[Instance]] = {}
+            for instance in reports.values():
+                by_digest.setdefault(instance.digest, []).append(instance)
+            most = max(by_digest.values(), key=lambda found: (len(found), found[0].name))
+            layers = [Layer(Selector(), dict(most[0].values))] if most[0].values else []
+            for instance in sorted(reports.values(), key=lambda i: i.name):
+                if instance.digest != most[0].digest:
+                    # A layer for one: it says everything that this instance has and the others have not.
+                    layers.append(Layer(parse(f"name={instance.name}"), dict(instance.values)))
+            number = max(i.revision for i in reports.values())
+            made = Document(tuple(layers))
+            text = f"recovered from what {len(reports)} instances reported"
+            revision = Revision(number, 0, time.time(), "agent", text, "", made.digest(), made)
+            with self._store.transaction():
+                self._store.add_revision(revision)
+                self._store.set("settled", str(number))
+                self._store.set("recovered", "yes")
+            self.recovered = True
+            log.warning("the store was lost: revision %d %s", number, text)
+            self._audit.write("agent", "recover", revision=number, instances=len(reports))
+            for instance in reports.values():
+                instance.assigned = number
+                self._dirty.add(instance.name)
+        for instance in list(self.instances.values()):
+            self._place(instance)
+        self.flush()
+
+    # --- carrying out -----------------------------------------------------------------------------
+
+    def _do(self, running: Running, actions: list[Any]) -> None:
+        self._todo += [(running, action) for action in actions]
+        if actions or running.rollout.dirty:
+            self._soon()
+
+    def _soon(self) -> None:
+        if self._flush_timer is None:
+            self._flush_timer = asyncio.get_running_loop().call_later(BATCH_S, self.flush)
+
+    def flush(self) -> None:
+        """Write all that has changed, then carry out what was decided."""
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+            self._flush_timer = None
+        ready: list[tuple[Running, Send | Restart]] = []
+        with self._store.transaction():
+            self._ended_ones()
+            while self._todo:
+                todo, self._todo = self._todo, []
+                for running, action in todo:
+                    if isinstance(action, UndoWanted):
+                        self._undo_by_itself(running, action.reason)
+                        continue
+                    ready.append((running, action))
+                    if isinstance(action, Send) and action.name in self.instances:
+                        row = running.row
+                        assigned = row.undo_revision if action.undo else row.revision
+                        self.instances[action.name].assigned = assigned
+                        self._dirty.add(action.name)
+                self._ended_ones()
+            self._save()
+        for running, action in ready:
+            self._carry_out(running, action)
+        self._arm()
+
+    def _save(self) -> None:
+        now = self._now()
+        with self._store.transaction():
+            for running in self._running.values():
+                head, members = rollout.to_tables(running.rollout, now)
+                head["queued"] = running.queued
+                changed = {k: v for k, v in head.items() if k != "spent"} != {
+                    k: v for k, v in running.row.head.items() if k != "spent"
+                }
+                if members or changed:
+                    running.row.head = head
+                    self._store.save_rollout(running.row, members)
+                    running.rollout.dirty.clear()
+                    self._changed.add(running.rollout.number)
+                    self._tell_soon()
+            rows = {name: self.instances[name].row() for name in self._dirty if name in self.instances}
+            self._dirty.clear()
+            if rows:
+                self._store.save_instances(rows)
+
+    def _carry_out(self, running: Running, action: Send | Restart) -> None:
+        instance = self.instances.get(action.name)
+        if instance is None:
+            return
+        if isinstance(action, Restart):
+            asyncio.get_running_loop().create_task(self._restart(running, instance))
+            return
+        self._offer(instance, running.row.undo_revision if action.undo else running.row.revision)
+
+    def _offer(self, instance: Instance, number: int) -> None:
+        """Send an instance what a revision means for it."""
+        revision = self._store.revision(number)
+        if revision is not None and instance.link is not None:
+            values = revision.document.effective(instance.name, instance.labels)
+            instance.link.send({"t": "apply", "revision": number, "digest": digest(values), "values": values})
+
+    async def _restart(self, running: Running, instance: Instance) -> None:
+        if self.restarter(instance.name):
+            return
+        try:
+            answer = await self._ask(instance, {"t": "do", "what": "restart"}, ASK_S)
+            denied = str(answer.get("error", ""))
+        except Refused:
+            return  # its deadline, or its next hello, will tell
+        if denied:
+            self._do(running, running.rollout.denied(self._now(), instance.name, denied))
+
+    def _arm(self) -> None:
+        if self._tick_timer is not None:
+            self._tick_timer.cancel()
+            self._tick_timer = None
+        now = self._now()
+        dues = [d for r in self._running.values() if not r.queued and (d := r.rollout.next_due(now)) is not None]
+        if dues:
+            self._tick_timer = asyncio.get_running_loop().call_later(max(0.01, min(dues)), self._tick)
+
+    def _tick(self) -> None:
+        self._tick_timer = None
+        now = self._now()
+        for running in list(self._running.values()):
+            if running.active and not running.queued:
+                self._do(running, running.rollout.tick(now))
+        self.flush()
+
+    def _ended_ones(self) -> None:
+        """Draw the line under rollouts that have ended, and begin those that waited for them."""
+        for running in list(self._running.values()):
+            r, row = running.rollout, running.row
+            if running.queued or not r.ended or row.ended:
+                continue
+            row.ended = True
+            revision = row.undo_revision if r.phase is Phase.UNDONE else row.revision
+            if r.kind == "change" and r.phase in (Phase.DONE, Phase.INCOMPLETE, Phase.UNDONE):
+                self._store.set("settled", str(max(revision, int(self._store.get("settled", "0")))))
+                for member in r.members.values():
+                    if member.state is not State.REFUSED and member.name in self.instances:
+                        self.instances[member.name].assigned = revision
+                        self._dirty.add(member.name)
+            missing = [m.name for m in r.missing()]
+            log.info("rollout %d: %s, %d missing", r.number, r.phase.value, len(missing))
+            self._audit.write(
+                "agent", "rollout ended", rollout=r.number, phase=r.phase.value, missing=missing[:1000]
+            )
+        old = [n for n, r in self._running.items() if not r.active]
+        for number in old[:-MAX_ENDED]:
+            del self._running[number]
+        for running in list(self._running.values()):
+            if running.queued and not self._overlapping(running.selector, running.rollout.number):
+                running.queued = False
+                self._begin(running)
+
+    # --- what operators ask for --------------------------------------------------------------------
+
+    def select(self, text: str) -> list[Instance]:
+        """The instances that a selector means, by name; Refused if it is none."""
+        selector = self._selector(text)
+        found = [i for i in self.instances.values() if selector.matches(i.name, i.labels)]
+        return sorted(found, key=lambda i: i.name)
+
+    def _selector(self, text: str) -> Selector:
+        try:
+            return parse(text)
+        except ValueError as error:
+            raise Refused("bad_input", str(error)) from None
+
+    def head(self) -> Revision:
+        """The newest revision."""
+        return self._store.head()
+
+    def revision(self, number: int) -> Revision:
+        """One revision; Refused if there is none."""
+        found = self._store.revision(number)
+        if found is None:
+            raise Refused("unknown", f"there is no revision {number}")
+        return found
+
+    def revisions(self) -> list[Revision]:
+        """All revisions, the newest first."""
+        return self._store.revisions()
+
+    def rollouts(self) -> list[Running]:
+        """Those in memory, the newest first."""
+        return sorted(self._running.values(), key=lambda r: -r.rollout.number)
+
+    def running(self, number: int) -> Running:
+        """One rollout, from the store if it is old; Refused if there is none."""
+        if number in self._running:
+            return self._running[number]
+        row = self._store.rollout(number)
+        if row is None:
+            raise Refused("unknown", f"there is no rollout {number}")
+        found = rollout.from_tables(number, row.head, self._store.members(number), self._now())
+        return Running(found, row, parse(row.selector))
+
+    def tell_time(self) -> float:
+        """The clock that rollouts run by."""
+        return self._now()
+
+    def change(
+        self, who: str, parent: int, reason: str, selector: str, put: Mapping[str, Any] | None,
+        set_: Mapping[str, Any], unset: list[str], plan: Plan, overlap: str, dry_run: bool,
+    ) -> dict[str, Any]:  # fmt: skip
+        """Make a revision on top of `parent` and roll it out; Refused if that cannot be.
+
+        `put` replaces the layer of `selector`, else `set_` and `unset` change it. With `dry_run` nothing is
+        written, and the answer says what would be.
+        """
+        self._ready()
+        meant = self._selector(selector)
+        head = self._store.head()
+        if parent != head.number:
+            raise self._conflict(parent, head)
+        layer = dict(put) if put is not None else head.document.layer(meant)
+        if put is None:
+            missing = [key for key in unset if key not in layer]
+            if missing:
+                raise Refused("bad_input", f"{missing[0]} is not set for {selector or 'all'}")
+            layer = {k: v for k, v in (layer | dict(set_)).items() if k not in unset}
+        values = self._checked(layer)
+        made = head.document.replaced(meant, values)
+        changes = difference(head.document, made)
+        if not changes:
+            raise Refused("bad_input", "this changes nothing", head=head.number)
+        self._check_effective(made)
+        number = self._next_revision(head)
+        revision = Revision(number, head.number, time.time(), who, reason, str(meant), made.digest(), made)
+        affected = [i for i in self.instances.values() if meant.matches(i.name, i.labels)]
+        if dry_run:
+            would = self._would(affected, revision)
+            return {"dry_run": True, "revision": number, "changes": changes, "would": would}
+        blocking = self._overlapping(meant)
+        if blocking and overlap == "refuse":
+            raise self._busy(blocking)
+        with self._store.transaction():
+            self._store.add_revision(revision)
+            if overlap == "supersede":
+                self._supersede(blocking)
+            running = self._make("change", revision, meant, who, reason, plan, affected)
+            if blocking and overlap == "queue":
+                running.queued = True
+            else:
+                self._begin(running)
+            self.flush_in_transaction()
+        done = {"revision": number, "rollout": running.rollout.number, "changes": changes, "reason": reason}
+        self._audit.write(who, "change", **done)
+        self.flush()
+        return {"revision": number, "rollout": running.table(self._now()), "changes": changes}
+
+    def restart(self, who: str, reason: str, selector: str, plan: Plan, dry_run: bool) -> dict[str, Any]:
+        """Roll a restart out; Refused if that cannot be."""
+        self._ready()
+        meant = self._selector(selector)
+        found = self.select(selector)
+        if not found:
+            raise Refused("unknown", f"no instance is meant by {selector!r}")
+        if dry_run:
+            return {"dry_run": True, "would": [{"name": i.name, "connected": i.connected} for i in found]}
+        blocking = self._overlapping(meant)
+        if blocking:
+            raise self._busy(blocking)
+        running = self._make("restart", self._store.head(), meant, who, reason, plan, found)
+        self._begin(running)
+        self._audit.write(who, "restart", rollout=running.rollout.number, selector=str(meant), reason=reason)
+        self.flush()
+        return {"rollout": running.table(self._now())}
+
+    def steer(self, who: str, number: int, what: str, reason: str) -> dict[str, Any]:
+        """Pause, resume, abort or undo a rollout; Refused where that means nothing."""
+        running = self.running(number)
+        r, now = running.rollout, self._now()
+        text = f"{what} by {who}" + (f": {reason}" if reason else "")
+        phase = r.phase
+        if what == "undo":
+            self._undo(running, who, reason)
+        elif running.queued and what == "abort":
+            running.queued = False
+            self._do(running, r.abort(now, text))
+        elif number in self._running and what in ("pause", "resume", "abort"):
+            step = {"pause": lambda: r.pause(now, text), "resume": lambda: r.resume(now),
+                    "abort": lambda: r.abort(now, text)}[what]  # fmt: skip
+            self._do(running, step())
+        if r.phase is phase:
+            raise Refused("conflict", f"rollout {number} is {phase.value}: there is nothing to {what}")
+        self._audit.write(who, what, rollout=number, reason=reason)
+        self.flush()
+        return {"rollout": running.table(self._now())}
+
+    async def order(self, who: str, what: str, selector: str) -> list[dict[str, Any]]:
+        """Drain or resume instances; what each answered."""
+        found = self.select(selector)
+        self._audit.write(who, what, selector=selector, instances=[i.name for i in found][:1000])
+
+        async def one(instance: Instance) -> dict[str, Any]:
+            try:
+                answer = await self._ask(instance, {"t": "do", "what": what}, ASK_S)
+            except Refused as error:
+                return {"name": instance.name, "done": False, "error": str(error)}
+            error = str(answer.get("error", ""))
+            instance.state = str(answer.get("state", instance.state))
+            return {"name": instance.name, "done": not error, "error": error}
+
+        return list(await asyncio.gather(*(one(i) for i in found)))
+
+    async def ask(self, name: str, what: str) -> Any:
+        """Ask an instance for its snapshot or its logs; Refused if it does not answer."""
+        instance = self.instances.get(name)
+        if instance is None:
+            raise Refused("unknown", f"there is no instance {name}")
+        answer = await self._ask(instance, {"t": "ask", "what": what}, ASK_S)
+        if answer.get("error"):
+            raise Refused("unknown", str(answer["error"]))
+        return answer.get("data")
+
+    def wanted(self, instance: Instance) -> dict[str, Any]:
+        """What an instance is to have, and which layer says so."""
+        revision = self._store.revision(max(0, instance.assigned))
+        if revision is None:
+            return {}
+        values = revision.document.effective(instance.name, instance.labels)
+        origin = revision.document.origin(instance.name, instance.labels)
+        return {"revision": revision.number, "digest": digest(values), "values": values, "origin": origin}
+
+    def forget(self, who: str, name: str) -> None:
+        """Know nothing more of an instance that is away; Refused if it is not."""
+        instance = self.instances.get(name)
+        if instance is None:
+            raise Refused("unknown", f"there is no instance {name}")
+        if instance.connected:
+            raise Refused("conflict", f"{name} is connected: what is there cannot be forgotten")
+        for running in self._of(instance):
+            self._do(running, running.rollout.left(self._now(), name, f"forgotten by {who}"))
+        del self.instances[name]
+        self._store.forget_instance(name)
+        self._audit.write(who, "forget", instance=name)
+        self.flush()
+
+    # --- their parts -------------------------------------------------------------------------------
+
+    def _ready(self) -> None:
+        if self._recovering():
+            left = self._recover_until - self._now()
+            text = f"the store is new; instances are heard for {left:.0f} s more"
+            raise Refused("recovering", text, retry_s=left)
+
+    def _next_revision(self, head: Revision) -> int:
+        """Above all that any instance has: a store that was put back from a copy must not count from below,
+        for no instance takes what is older than what it has."""
+        return max([head.number, *(i.revision for i in self.instances.values())]) + 1
+
+    def _checked(self, layer: Mapping[str, Any]) -> Values:
+        try:
+            return check.checked(layer, managed=True)
+        except check.OperatorError as error:
+            text = "; ".join(map(str, error.problems))
+            raise Refused("bad_input", text, problems=[p.table() for p in error.problems]) from None
+
+    def _check_effective(self, made: Document) -> None:
+        """Layers that will do alone may not do together."""
+        for instance in self.instances.values():
+            try:
+                check.checked(made.effective(instance.name, instance.labels), managed=True)
+            except check.OperatorError as error:
+                raise Refused("bad_input", f"for {instance.name}: {error.problems[0]}") from None
+
+    def _conflict(self, parent: int, head: Revision) -> Refused:
+        """Somebody was first: who, when, and what lies between."""
+        since = [r for r in self._store.revisions(after=parent) if r.number > parent]
+        old = self._store.revision(parent)
+        changes = difference(old.document, head.document) if old is not None else []
+        first = since[-1] if since else head
+        when = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(first.at))
+        text = (
+            f"revision {first.number} by {first.author} ({first.reason or 'no reason given'}, {when}) "
+            f"came first; yours was made on revision {parent}, the head is {head.number}"
+        )
+        return Refused("conflict", text, head=head.number, revisions=[r.table() for r in since], changes=changes)
+
+    def _busy(self, blocking: list[Running]) -> Refused:
+        first = blocking[0]
+        text = (
+            f"rollout {first.rollout.number} by {first.row.author} ({first.row.selector or 'all'}) is "
+            f"{first.rollout.phase.value}; wait for it, abort it, or ask to queue or to supersede"
+        )
+        return Refused("busy", text, rollout=first.table(self._now()))
+
+    def _overlapping(self, meant: Selector, before: int = 1 << 62) -> list[Running]:
+        """Rollouts that have not ended and may mean the same instances, the oldest first."""
+        found = [
+            r for r in self._running.values()
+            if r.active and r.rollout.number < before and r.selector.overlaps(meant)
+        ]  # fmt: skip
+        return sorted(found, key=lambda r: r.rollout.number)
+
+    def _would(self, affected: list[Instance], revision: Revision) -> list[dict[str, Any]]:
+        """What a change would do to each instance."""
+        found = []
+        for instance in sorted(affected, key=lambda i: i.name):
+            values = revision.document.effective(instance.name, instance.labels)
+            current = dict(self.wanted(instance).get("values", {}))
+            changed = sorted(k for k in {*values, *current} if values.get(k) != current.get(k))
+            if changed:
+                restart = [k for k in check.restart_keys(current, values) if k in changed]
+                found.append(
+                    {"name": instance.name, "connected": instance.connected, "keys": changed, "restart": restart}
+                )
+        return found
+
+    def _member(self, instance: Instance, revision: int, wave: int) -> Member:
+        target = self._store.revision(revision)
+        assert target is not None
+        wanted = digest(target.document.effective(instance.name, instance.labels))
+        before = self.wanted(instance).get("digest", digest({}))
+        return Member(
+            name=instance.name, target=wanted, before=before, wave=wave, has=instance.digest,
+            holds=instance.holds, connected=instance.connected, boot=instance.boot, keeps=instance.keeps,
+            now=instance.totals(), base=instance.totals(), prior=instance.lately(self._now()),
+        )  # fmt: skip
+
+    def _make(
+        self, kind: str, revision: Revision, meant: Selector, who: str, reason: str, plan: Plan,
+        instances: list[Instance],
+    ) -> Running:  # fmt: skip
+        number = self._store.next_rollout()
+        while number in self._running:
+            number += 1
+        by_name = {i.name: i for i in instances if not i.left or i.connected}
+        members = rollout.members(
+            plan, by_name, lambda name, wave: self._member(by_name[name], revision.number, wave)
+        )
+        made = Rollout(number, kind, plan, members, self._now())
+        row = RolloutRow(number, revision.number, 0, str(meant), who, reason, time.time(), {}, False)
+        self._running[number] = running = Running(made, row, meant)
+        return running
+
+    def _begin(self, running: Running) -> None:
+        now = self._now()
+        self._refresh(running)
+        for member in running.rollout.members.values():
+            instance = self.instances.get(member.name)
+            if instance is not None:  # a queued one begins later than it was made
+                member.prior = instance.lately(now)
+                member.before = self.wanted(instance).get("digest", member.before)
+        self._do(running, running.rollout.start(now))
+
+    def _refresh(self, running: Running) -> None:
+        """Let a rollout that has not been listening know how its members are."""
+        for member in running.rollout.members.values():
+            instance = self.instances.get(member.name)
+            if instance is not None:
+                member.connected, member.boot = instance.connected, instance.boot
+                member.has, member.holds = instance.digest, instance.holds
+
+    def _supersede(self, blocking: list[Running]) -> None:
+        number = self._store.next_rollout()
+        for running in blocking:
+            running.queued = False
+            self._do(running, running.rollout.supersede(self._now(), number))
+
+    def _undo(self, running: Running, who: str, reason: str) -> None:
+        r, row = running.rollout, running.row
+        if r.kind == "restart":
+            raise Refused("bad_input", "a restart cannot be undone")
+        if row.undo_revision or running.queued:
+            raise Refused("conflict", f"rollout {r.number} cannot be undone: it is {r.phase.value}")
+        meant = running.selector
+        head, mine, parent = self._store.head(), self._store.revision(row.revision), None
+        if mine is not None:
+            parent = self._store.revision(mine.parent)
+        if mine is None or parent is None:
+            raise Refused("unknown", f"what was before revision {row.revision} is not known")
+        if head.document.layer(meant) != mine.document.layer(meant):
+            later = next(x for x in self._store.revisions(after=mine.number) if x.selector == str(meant))
+            raise Refused(
+                "conflict",
+                f"revision {later.number} by {later.author} has changed the same settings since; undo that first",
+                revisions=[later.table()],
+            )
+        others = [x for x in self._overlapping(meant) if x is not running]
+        if any(not x.queued for x in others):
+            raise self._busy([x for x in others if not x.queued])
+        for queued in others:  # they were built on what is taken back
+            queued.queued = False
+            self._do(queued, queued.rollout.abort(self._now(), f"rollout {r.number} was undone"))
+        head = self._store.head()
+        made = head.document.replaced(meant, parent.document.layer(meant))
+        number = self._next_revision(head)
+        text = f"undo of revision {mine.number}" + (f": {reason}" if reason else "")
+        revision = Revision(number, head.number, time.time(), who, text, str(meant), made.digest(), made)
+        befores = {}
+        for name in r.members:
+            instance = self.instances.get(name)
+            labels = instance.labels if instance is not None else {}
+            befores[name] = digest(made.effective(name, labels))
+        self._running[r.number] = running
+        self._refresh(running)
+        with self._store.transaction():
+            self._store.add_revision(revision)
+            row.undo_revision, row.ended = number, False
+            self._do(running, r.undo(self._now(), text, befores))
+            self.flush_in_transaction()
+
+    def _undo_by_itself(self, running: Running, reason: str) -> None:
+        try:
+            self._undo(running, "agent", reason)
+            self._audit.write("agent", "undo", rollout=running.rollout.number, reason=reason)
+        except Refused as error:
+            running.rollout.reason = f"{reason}; not undone: {error}"
+
+    def flush_in_transaction(self) -> None:
+        """Write what belongs with a revision in the transaction that writes the revision."""
+        self._save()
+
+    async def _ask(self, instance: Instance, message: Message, within_s: float) -> Message:
+        if instance.link is None:
+            raise Refused("unreachable", f"{instance.name} is not connected")
+        number = self._next_ask = self._next_ask + 1
+        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._asked[number] = (instance.name, future)
+        try:
+            instance.link.send(message | {"id": number})
+            async with asyncio.timeout(within_s):
+                return await future
+        except TimeoutError:
+            raise Refused("unreachable", f"{instance.name} does not answer") from None
+        finally:
+            del self._asked[number]
+
+    def _tell(self, news: dict[str, Any]) -> None:
+        for queue in self.watchers:
+            with contextlib.suppress(asyncio.QueueFull):  # a watcher that does not read misses some
+                queue.put_nowait(news)
+
+    def _tell_soon(self) -> None:
+        if self.watchers and self._tell_timer is None:
+            self._tell_timer = asyncio.get_running_loop().call_later(TELL_S, self._tell_changed)
+
+    def _tell_changed(self) -> None:
+        self._tell_timer = None
+        changed, self._changed = self._changed, set()
+        for number in changed:
+            if number in self._running:
+                self._tell({"rollout": self._running[number].table(self._now())})
+
+    def status(self) -> dict[str, Any]:
+        """The agent in a few figures."""
+        active = [r for r in self._running.values() if r.active]
+        return {
+            "started": self.started, "instances": len(self.instances), "head": self._store.head().number,
+            "connected": sum(1 for i in self.instances.values() if i.connected),
+            "active_rollouts": [r.rollout.number for r in active], "recovered": self.recovered,
+            "recovering": self._recovering(), "supervised": self.supervised(),
+        }  # fmt: skip
+
--- /dev/null
+++ b/covetally/fleet/api.py
@@ -0,0 +1,311 @@
+"""The operators' API: JSON over HTTP, versioned by its path, on a Unix socket and where asked on TCP with tokens.
+
+Errors are {"error": code, "text": ..., ...}: bad_input 400, denied 401 or 403, unknown 404, conflict and busy
+409, unreachable 504, recovering 503. docs/operators/fleet.md lists the calls.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import pwd
+import resource
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import fields
+from typing import Any
+
+from aiohttp import WSMsgType, web
+
+from covetally.fleet.agent import Agent, Refused
+from covetally.fleet.audit import Audit
+from covetally.fleet.rollout import Plan
+from covetally.fleet.tokens import Tokens
+
+log = logging.getLogger(__name__)
+
+VERSIONS = [1]
+STATUS = {
+    "bad_input": 400, "denied": 403, "unknown": 404, "conflict": 409, "busy": 409, "unreachable": 504,
+    "recovering": 503,
+}  # fmt: skip
+MAX_BODY = 1024 * 1024
+MAX_WATCHERS = 100
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+AGENT: web.AppKey[Agent] = web.AppKey("agent", Agent)
+AUDIT: web.AppKey[Audit] = web.AppKey("audit", Audit)
+
+
+def failure(error: Refused) -> web.Response:
+    """An operator's answer to what the agent does not do."""
+    body = {"error": error.code, "text": str(error)} | error.data
+    return web.json_response(body, status=STATUS.get(error.code, 400))
+
+
+def _peer(request: web.Request) -> str:
+    """Who is at the other end of a Unix socket, as the kernel says (unix(7), SO_PEERCRED)."""
+    sock = request.transport.get_extra_info("socket") if request.transport is not None else None
+    if sock is None or sock.family != socket.AF_UNIX:
+        return ""
+    data = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+    _, uid, _ = struct.unpack("3i", data)
+    try:
+        return pwd.getpwuid(uid).pw_name
+    except KeyError:
+        return f"uid {uid}"
+
+
+@web.middleware
+async def _clear_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except Refused as error:
+        return failure(error)
+    except web.HTTPException as error:
+        return web.json_response({"error": "http", "text": error.reason}, status=error.status)
+    except asyncio.CancelledError:
+        raise
+    except Exception:
+        log.exception("%s %s failed by a bug", request.method, request.path)
+        return web.json_response({"error": "bug", "text": "the agent failed on this; see its log"}, status=500)
+
+
+def _gate(tokens: Tokens | None) -> Any:
+    """Lets in whoever the socket or a token names; `request["who"]` and `request["may"]` say who may what."""
+
+    @web.middleware
+    async def gate(request: web.Request, handler: Handler) -> web.StreamResponse:
+        who = _peer(request)
+        if who:
+            request["who"], request["may"] = who, "operator"
+            return await handler(request)
+        secret = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
+        token = tokens.who(secret, ("reader", "operator")) if tokens is not None else None
+        if token is None:
+            return web.json_response({"error": "denied", "text": "no token that is known"}, status=401)
+        request["who"], request["may"] = token.name, token.right
+        if token.right == "reader" and request.method not in ("GET", "HEAD"):
+            text = f"{token.name} may read, not change"
+            return web.json_response({"error": "denied", "text": text}, status=403)
+        return await handler(request)
+
+    return gate
+
+
+async def _body(request: web.Request) -> dict[str, Any]:
+    try:
+        body = json.loads(await request.read() or b"{}")
+    except (ValueError, RecursionError):
+        raise Refused("bad_input", "the body is no JSON") from None
+    if not isinstance(body, dict):
+        raise Refused("bad_input", "the body is no JSON object")
+    return body
+
+
+def _take(body: dict[str, Any], key: str, kind: type | tuple[type, ...], default: Any) -> Any:
+    value = body.get(key, default)
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is int):
+        raise Refused("bad_input", f"{key} is {value!r:.60}")
+    return value
+
+
+_BOUNDS = {
+    "canary": (0, 100_000), "max_out": (1, 100_000), "soak_s": (0, 86_400), "max_worse": (0, 1),
+    "min_answers": (0, 1_000_000), "max_refused": (0, 100_000), "instance_s": (0.1, 86_400),
+    "whole_s": (1, 30 * 86_400),
+}  # fmt: skip
+
+
+def plan_from(table: dict[str, Any], defaults: Plan) -> Plan:
+    """A plan from its JSON; Refused names the key that will not do."""
+    values: dict[str, Any] = {f.name: getattr(defaults, f.name) for f in fields(Plan)}
+    for key, value in table.items():
+        if key not in values:
+            raise Refused("bad_input", f"plan.{key}: no such key; there are {', '.join(values)}")
+        if key in _BOUNDS:
+            least, most = _BOUNDS[key]
+            whole = isinstance(values[key], int) and not isinstance(values[key], bool)
+            number = isinstance(value, int if whole else (int, float)) and not isinstance(value, bool)
+            if not number or not least <= value <= most:
+                raise Refused("bad_input", f"plan.{key} = {value!r:.60}: has to be from {least} to {most}")
+        elif key == "shares":
+            good = isinstance(value, list) and all(
+                isinstance(x, int | float) and not isinstance(x, bool) and 0 < x <= 1 for x in value
+            )
+            if not good or sorted(value) != value or len(value) > 100:
+                raise Refused("bad_input", "plan.shares: has to be rising numbers above 0, at most 1")
+            value = tuple(value)
+        elif key == "restart" and not isinstance(value, bool):
+            raise Refused("bad_input", "plan.restart: has to be true or false")
+        elif key == "on_trouble" and value not in ("pause", "undo"):
+            raise Refused("bad_input", "plan.on_trouble: has to be pause or undo")
+        values[key] = value
+    return Plan(**values)
+
+
+RESTART_PLAN = Plan(canary=1, shares=(1.0,), max_out=1, soak_s=1.0, instance_s=60.0)
+
+
+class Api:
+    """The calls."""
+
+    def __init__(self, agent: Agent, audit: Audit) -> None:
+        self._agent, self._audit = agent, audit
+
+    def routes(self) -> list[web.RouteDef]:
+        """All of them."""
+        return [
+            web.get("/versions", self.versions),
+            web.get("/v1/status", self.status),
+            web.get("/v1/instances", self.instances),
+            web.get("/v1/instances/{name}", self.instance),
+            web.get("/v1/instances/{name}/logs", self.logs),
+            web.delete("/v1/instances/{name}", self.forget),
+            web.get("/v1/revisions", self.revisions),
+            web.get("/v1/revisions/{number:\\d+}", self.revision),
+            web.post("/v1/revisions", self.change),
+            web.get("/v1/rollouts", self.rollouts),
+            web.get("/v1/rollouts/{number:\\d+}", self.rollout),
+            web.post("/v1/rollouts/{number:\\d+}/{what:pause|resume|abort|undo}", self.steer),
+            web.post("/v1/restart", self.restart),
+            web.post("/v1/{what:drain|resume}", self.order),
+            web.get("/v1/audit", self.audit),
+            web.get("/v1/watch", self.watch),
+        ]
+
+    async def versions(self, request: web.Request) -> web.Response:
+        return web.json_response({"versions": VERSIONS, "service": "cindersail agent"})
+
+    async def status(self, request: web.Request) -> web.Response:
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        more = {"cpu_s": round(used.ru_utime + used.ru_stime, 3), "max_rss_kib": used.ru_maxrss}
+        return web.json_response(self._agent.status() | more)
+
+    async def instances(self, request: web.Request) -> web.Response:
+        found = self._agent.select(request.query.get("selector", ""))
+        return web.json_response({"instances": [i.table() for i in found], "head": self._agent.head().number})
+
+    async def instance(self, request: web.Request) -> web.Response:
+        name = request.match_info["name"]
+        instance = self._agent.instances.get(name)
+        if instance is None:
+            raise Refused("unknown", f"there is no instance {name}")
+        table = instance.table() | {"wanted": self._agent.wanted(instance)}
+        if instance.connected:
+            try:
+                table["snapshot"] = await self._agent.ask(name, "snapshot")
+            except Refused as error:
+                table["note"] = str(error)
+        return web.json_response(table)
+
+    async def logs(self, request: web.Request) -> web.Response:
+        return web.json_response({"lines": await self._agent.ask(request.match_info["name"], "logs")})
+
+    async def forget(self, request: web.Request) -> web.Response:
+        self._agent.forget(request["who"], request.match_info["name"])
+        return web.json_response({"forgotten": request.match_info["name"]})
+
+    async def revisions(self, request: web.Request) -> web.Response:
+        return web.json_response({"revisions": [r.table() for r in self._agent.revisions()]})
+
+    async def revision(self, request: web.Request) -> web.Response:
+        return web.json_response(self._agent.revision(int(request.match_info["number"])).table(whole=True))
+
+    async def change(self, request: web.Request) -> web.Response:
+        body = await _body(request)
+        put = body.get("put")
+        if put is not None and not isinstance(put, dict):
+            raise Refused("bad_input", "put is no object")
+        overlap = body.get("overlap", "refuse")
+        if overlap not in ("refuse", "queue", "supersede"):
+            raise Refused("bad_input", "overlap has to be refuse, queue or supersede")
+        done = self._agent.change(
+            who=request["who"],
+            parent=_take(body, "parent", int, -1),
+            reason=_take(body, "reason", str, "")[:1000],
+            selector=_take(body, "selector", str, ""),
+            put=put,
+            set_=_take(body, "set", dict, {}),
+            unset=[str(key) for key in _take(body, "unset", list, [])],
+            plan=plan_from(_take(body, "plan", dict, {}), Plan()),
+            overlap=overlap,
+            dry_run=_take(body, "dry_run", bool, False),
+        )
+        return web.json_response(done)
+
+    async def rollouts(self, request: web.Request) -> web.Response:
+        now = self._agent.tell_time()
+        return web.json_response({"rollouts": [r.table(now) for r in self._agent.rollouts()]})
+
+    async def rollout(self, request: web.Request) -> web.Response:
+        found = self._agent.running(int(request.match_info["number"]))
+        return web.json_response(found.table(self._agent.tell_time(), whole=True))
+
+    async def steer(self, request: web.Request) -> web.Response:
+        body = await _body(request)
+        number, what = int(request.match_info["number"]), request.match_info["what"]
+        reason = _take(body, "reason", str, "")[:1000]
+        return web.json_response(self._agent.steer(request["who"], number, what, reason))
+
+    async def restart(self, request: web.Request) -> web.Response:
+        body = await _body(request)
+        done = self._agent.restart(
+            who=request["who"],
+            reason=_take(body, "reason", str, "")[:1000],
+            selector=_take(body, "selector", str, ""),
+            plan=plan_from(_take(body, "plan", dict, {}), RESTART_PLAN),
+            dry_run=_take(body, "dry_run", bool, False),
+        )
+        return web.json_response(done)
+
+    async def order(self, request: web.Request) -> web.Response:
+        body = await _body(request)
+        what, selector = request.match_info["what"], _take(body, "selector", str, "")
+        if not self._agent.select(selector):
+            raise Refused("unknown", f"no instance is meant by {selector!r}")
+        return web.json_response({"instances": await self._agent.order(request["who"], what, selector)})
+
+    async def audit(self, request: web.Request) -> web.Response:
+        text = request.query.get("count", "100")
+        count = min(10_000, int(text)) if text.isdigit() else 100
+        return web.json_response({"acts": self._audit.tail(count)})
+
+    async def watch(self, request: web.Request) -> web.StreamResponse:
+        """A WebSocket on which news comes as it happens: {"rollout": ...} or {"instance": ...}."""
+        if len(self._agent.watchers) >= MAX_WATCHERS:
+            raise Refused("busy", f"{MAX_WATCHERS} are watching already")
+        socket_ = web.WebSocketResponse(heartbeat=20.0, max_msg_size=4096)
+        await socket_.prepare(request)
+        queue: asyncio.Queue[dict[str, Any]] = asyncio.Queue(1000)
+        self._agent.watchers.add(queue)
+        closed = asyncio.create_task(_until_closed(socket_))
+        try:
+            while not closed.done():
+                news = asyncio.create_task(queue.get())
+                await asyncio.wait([news, closed], return_when=asyncio.FIRST_COMPLETED)
+                if not news.done():
+                    news.cancel()
+                    break
+                await socket_.send_json(news.result())
+        except ConnectionError:
+            pass
+        finally:
+            self._agent.watchers.discard(queue)
+            closed.cancel()
+        return socket_
+
+
+async def _until_closed(socket_: web.WebSocketResponse) -> None:
+    async for message in socket_:
+        if message.type in (WSMsgType.CLOSE, WSMsgType.ERROR):
+            return
+
+
+def application(agent: Agent, audit: Audit, tokens: Tokens | None) -> web.Application:
+    """The API as an aiohttp application."""
+    app = web.Application(middlewares=[_clear_errors, _gate(tokens)], client_max_size=MAX_BODY)
+    app.add_routes(Api(agent, audit).routes())
+    return app
--- a/covetally/fleet/rollout.py
+++ b/covetally/fleet/rollout.py
@@ -81,7 +81,7 @@
     max_worse: float = 0.05  # refused and failed over all answers may rise by so much
     min_answers: int = 20  # of fewer answers no judgement is made
     max_refused: int = 0  # members that may refuse before `on_trouble`; 0: any number
-    instance_s: float = 30.0
+    instance_s: float = 45.0  # above an instance's longest pause between two dials
     whole_s: float = 3600.0
     restart: bool = False  # members that need a restart are restarted
     on_trouble: str = "pause"  # or undo
@@ -98,6 +98,7 @@
     state: State = State.PENDING
     since: float = 0.0  # spent seconds of the rollout when the state began
     detail: str = ""
+    given_up: bool = False  # unreachable for its whole deadline: nothing waits for it any more
     has: str = ""
     holds: str = ""  # digest of what it holds until its next start
     errors: list[dict[str, Any]] = field(default_factory=list)
@@ -157,6 +158,13 @@
         self.dirty: set[str] = set(self.members)
         self._zero = now - spent
         self._actions: list[Action] = []
+        # Kept in step by `_set`, so that an event costs the same however many members there are.
+        self._counts: Counter[State] = Counter()
+        self._unsettled: dict[int, set[str]] = {}  # by wave
+        self._ready: dict[int, dict[str, None]] = {}  # by wave: those that something can be done for
+        self._timed: dict[str, None] = {}  # whose deadline runs, the oldest first
+        for member in sorted(self.members.values(), key=lambda m: m.since):
+            self._enter(member)
 
     # --- time -----------------------------------------------------------------------------------
 
@@ -172,9 +180,9 @@
         if self.phase is Phase.SOAKING:
             due.append(self.soak_until)
         if self.phase is not Phase.PAUSED:
-            waits = [m.since for m in self.members.values() if self._awaited(m)]
-            if waits:
-                due.append(min(waits) + self.plan.instance_s)
+            first = next(iter(self._timed), None)
+            if first is not None:
+                due.append(self.members[first].since + self.plan.instance_s)
         return max(0.0, min(due) - spent)
 
     @property
@@ -186,10 +194,11 @@
 
     def start(self, now: float) -> list[Action]:
         """Begin, or go on after the agent was started again."""
-        for member in self.members.values():
-            if member.state in OUT and not member.connected:
-                member.since = self.spent(now)  # its deadline begins anew: the time away was the agent's,
-                member.tries = max(0, member.tries - 1)  # and so was the lost link
+        for name in list(self._timed):
+            member = self.members[name]
+            if member.state in OUT and not member.connected:  # the time away was the agent's, and the lost link
+                member.tries = max(0, member.tries - 1)
+            self._set(now, member, member.state, member.detail)
         return self._go_on(now)
 
     def join(self, now: float, member: Member) -> list[Action]:
@@ -199,6 +208,7 @@
         member.wave = self.waves - 1
         self.members[member.name] = member
         self.dirty.add(member.name)
+        self._enter(member)
         return self._go_on(now)
 
     def connected(
@@ -317,10 +327,11 @@
         spent = self.spent(now)
         if spent >= self.until:
             return self._run_out(now)
-        if self.phase is not Phase.PAUSED:
-            for member in self.members.values():
-                if self._awaited(member) and spent >= member.since + self.plan.instance_s:
-                    self._overdue(now, member)
+        while self.phase is not Phase.PAUSED and self._timed:
+            member = self.members[next(iter(self._timed))]
+            if spent < member.since + self.plan.instance_s:
+                break
+            self._overdue(now, member)
         if self.phase is Phase.SOAKING and spent >= self.soak_until:
             self._judge(now)
         return self._go_on(now)
@@ -336,10 +347,10 @@
         if self.phase is not Phase.PAUSED:
             return []
         self.phase, self.reason = Phase.RUNNING, ""
-        self.forgiven = self._count(State.REFUSED)
-        for member in self.members.values():
-            if self._awaited(member):
-                member.since = self.spent(now)
+        self.forgiven = self._counts[State.REFUSED]
+        for name in list(self._timed):
+            member = self.members[name]
+            self._set(now, member, member.state, member.detail)
         return self._go_on(now)
 
     def abort(self, now: float, reason: str) -> list[Action]:
@@ -347,7 +358,8 @@
         if not self.ended:
             for member in self.members.values():
                 if member.state in OUT:
-                    self._set(now, member, State.UNREACHABLE, "no answer before the rollout was aborted")
+                    detail = "no answer before the rollout was aborted"
+                    self._set(now, member, State.UNREACHABLE, detail, given_up=True)
             self._end(Phase.ABORTED, reason)
         return self._take_actions()
 
@@ -357,13 +369,15 @@
             return []
         self.phase, self.reason = Phase.UNDOING, reason
         self.until = self.spent(now) + self.plan.whole_s
+        self.wave = self.waves - 1  # back in no order, at most so many out
         for member in self.members.values():
             member.before = befores.get(member.name, member.before)
             member.tries = 0
             if member.state is State.PENDING:
                 self._set(now, member, State.UNDONE, "was never sent")
+            elif member.state is State.REFUSED and member.has == member.before and not member.holds:
+                self._set(now, member, State.UNDONE, f"had refused: {member.detail}")
             elif member.state in UNDO_TO:
-                # To those who refused nothing is owed: they never left what they had.
                 if member.connected:
                     self._set(now, member, State.PENDING)
                 else:
@@ -420,39 +434,57 @@
         else:
             self._again(now, member, State.PENDING)
 
-    def _awaited(self, member: Member) -> bool:
-        """Whether a member's deadline runs."""
-        if member.state in OUT:
-            return True
-        # A wave waits for one of its members that is away as long as for one that is silent.
-        return member.state is State.UNREACHABLE and member.wave <= self.wave and not self._given_up(member)
-
-    def _given_up(self, member: Member) -> bool:
-        return member.detail.startswith("given up")
-
     def _overdue(self, now: float, member: Member) -> None:
-        if member.state is State.UNREACHABLE:
-            member.detail = f"given up: {member.detail or 'not connected'}"
-            self.dirty.add(member.name)
-        elif member.state is State.SENT:
-            self._set(now, member, State.UNREACHABLE, "given up: sent, and no answer in time")
-        else:
-            self._set(now, member, State.UNREACHABLE, "given up: did not come back from its restart in time")
+        state, detail = member.state, member.detail or "not connected"
+        if state is State.SENT:
+            detail = "sent, and no answer in time"
+        elif state is State.RESTARTING:
+            detail = "did not come back from its restart in time"
+        self._set(now, member, State.UNREACHABLE, detail, given_up=True)
+        if state is State.RESTARTING and self.phase is not Phase.UNDOING:
             # To go on would take out one more for each that stays away.
-            if self.phase is not Phase.UNDOING:
-                self._trouble(now, f"{member.name} did not come back from its restart")
+            self._trouble(now, f"{member.name} did not come back from its restart")
+
+    # --- the books ------------------------------------------------------------------------------
 
-    def _set(self, now: float, member: Member, state: State, detail: str = "") -> None:
+    def _set(self, now: float, member: Member, state: State, detail: str = "", given_up: bool = False) -> None:
+        self._leave(member)
         member.state, member.detail, member.since = state, detail, self.spent(now)
+        member.given_up = given_up
+        self._enter(member)
         self.dirty.add(member.name)
 
+    def _enter(self, member: Member) -> None:
+        self._counts[member.state] += 1
+        if not self._settled(member):
+            self._unsettled.setdefault(member.wave, set()).add(member.name)
+            if member.state in OUT or member.state is State.UNREACHABLE:
+                self._timed[member.name] = None
+            else:
+                self._ready.setdefault(member.wave, {})[member.name] = None
+
+    def _leave(self, member: Member) -> None:
+        self._counts[member.state] -= 1
+        self._unsettled.get(member.wave, set()).discard(member.name)
+        self._timed.pop(member.name, None)
+        self._ready.get(member.wave, {}).pop(member.name, None)
+
+    def _settled(self, member: Member) -> bool:
+        """Whether nothing more is done for a member unless it does something itself."""
+        if member.state in (State.PENDING, *OUT) or self._will_restart(member):
+            return False
+        return member.state is not State.UNREACHABLE or member.given_up
+
+    def _will_restart(self, member: Member) -> bool:
+        return member.state is State.NEEDS_RESTART and self.plan.restart and member.keeps
+
     # --- the way of the whole -------------------------------------------------------------------
 
     def _go_on(self, now: float) -> list[Action]:
         """Do whatever can be done now."""
         while not self.ended and self.phase is not Phase.PAUSED:
             if self.phase is not Phase.UNDOING and self._too_many_refused():
-                self._trouble(now, f"{self._count(State.REFUSED)} refused")
+                self._trouble(now, f"{self._counts[State.REFUSED]} refused")
                 break
             self._fill(now)
             if self.phase is Phase.SOAKING or not self._wave_settled():
@@ -468,51 +500,36 @@
 
     def _fill(self, now: float) -> None:
         """Send to the next members of the waves that are open, as many as may be out."""
-        out = sum(1 for m in self.members.values() if m.state in OUT)
+        if self.phase is Phase.SOAKING:
+            return
+        for wave in range(self.wave + 1):
+            for name in list(self._ready.get(wave, ())):
+                if sum(self._counts[state] for state in OUT) >= self.plan.max_out:
+                    return
+                self._next(now, self.members[name])
+
+    def _next(self, now: float, member: Member) -> None:
+        """Do what can be done for a member now."""
         undoing = self.phase is Phase.UNDOING
-        for member in self.members.values():
-            if out >= self.plan.max_out or self.phase is Phase.SOAKING:
-                return
-            if member.wave > self.wave and not undoing:
-                continue
-            if self._will_restart(member):
-                out += self._restart(now, member)
-            elif member.state is State.PENDING:
-                if not member.connected or self.kind == "restart":
-                    out += self._restart(now, member)
-                elif member.has == member.target and not member.holds and not undoing:
-                    self._took(now, member)
-                else:  # to undo it is sent whatever it last said: the target may be on its way
-                    member.tries += 1
-                    self._set(now, member, State.SENT)
-                    self._actions.append(Send(member.name, undoing))
-                    out += 1
-
-    def _restart(self, now: float, member: Member) -> int:
         if not member.connected:
             self._set(now, member, State.UNREACHABLE, "not connected")
-            return 0
-        member.told_boot = member.boot
-        member.tries += 1
-        self._set(now, member, State.RESTARTING)
-        self._actions.append(Restart(member.name))
-        return 1
+        elif member.state is State.NEEDS_RESTART or self.kind == "restart":
+            member.told_boot = member.boot
+            member.tries += 1
+            self._set(now, member, State.RESTARTING)
+            self._actions.append(Restart(member.name))
+        elif member.has == member.target and not member.holds and not undoing:
+            self._took(now, member)
+        else:  # to undo it is sent whatever it last said: the target may be on its way
+            member.tries += 1
+            self._set(now, member, State.SENT)
+            self._actions.append(Send(member.name, undoing))
 
     def _wave_settled(self) -> bool:
-        for member in self.members.values():
-            if member.wave > self.wave and self.phase is not Phase.UNDOING:
-                continue
-            if member.state in (State.PENDING, *OUT) or self._will_restart(member):
-                return False
-            if member.state is State.UNREACHABLE and not self._given_up(member):
-                return False
-        return True
-
-    def _will_restart(self, member: Member) -> bool:
-        return member.state is State.NEEDS_RESTART and self.plan.restart and member.keeps
+        return not any(self._unsettled.get(wave) for wave in range(self.wave + 1))
 
     def _too_many_refused(self) -> bool:
-        refused = self._count(State.REFUSED) - self.forgiven
+        refused = self._counts[State.REFUSED] - self.forgiven
         return bool(self.plan.max_refused) and refused > self.plan.max_refused
 
     def _judge(self, now: float) -> None:
@@ -542,7 +559,7 @@
         """The whole rollout's time is over."""
         for member in self.members.values():
             if member.state in OUT:
-                self._set(now, member, State.UNREACHABLE, "given up: no answer before the rollout's end")
+                self._set(now, member, State.UNREACHABLE, "no answer before the rollout's end", given_up=True)
         if self.phase is Phase.UNDOING:
             self._finish()
         else:
@@ -565,12 +582,9 @@
 
     # --- views ----------------------------------------------------------------------------------
 
-    def _count(self, state: State) -> int:
-        return sum(1 for m in self.members.values() if m.state is state)
-
     def counts(self) -> dict[str, int]:
         """Members by state."""
-        return dict(Counter(m.state.value for m in self.members.values()))
+        return {state.value: count for state, count in self._counts.items() if count}
 
     def missing(self) -> list[Member]:
         """Every member that has not what it was to have, by name."""
--- /dev/null
+++ b/covetally/fleet/serve.py
@@ -0,0 +1,127 @@
+"""The agent's process: `cindersail agent`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import fcntl
+import logging
+import os
+import resource
+import signal
+from dataclasses import dataclass
+from pathlib import Path
+
+from aiohttp import web
+
+from covetally.fleet import api, supervisor
+from covetally.fleet.agent import Agent
+from covetally.fleet.audit import Audit
+from covetally.fleet.links import Links
+from covetally.fleet.store import Store, StoreError
+from covetally.fleet.supervisor import Supervisor, SuperviseError
+from covetally.fleet.tokens import TokenError, Tokens
+
+log = logging.getLogger(__name__)
+
+STORE, AUDIT, LOCK = "agent.db", "audit.log", "lock"
+OPERATORS, INSTANCES = "operators.sock", "instances.sock"
+END_S = 2.0
+
+
+class StartError(Exception):
+    """The agent cannot start; one line says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What `cindersail agent` is told. Addresses are (host, port) or None."""
+
+    state: Path
+    operators: tuple[str, int] | None = None
+    instances: tuple[str, int] | None = None
+    tokens: Path | None = None
+    supervise: Path | None = None
+    stop_instances: bool = False
+    recover_s: float = 10.0
+
+
+def _lock(state: Path) -> int:
+    """Only one agent at a time has a folder: two would each believe that they decide."""
+    file = os.open(state / LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        raise StartError(f"{state}: another agent runs on this folder") from None
+    return file
+
+
+def _raise_descriptors() -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with contextlib.suppress(ValueError, OSError):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+        log.debug("descriptors: %d, %d before", hard, soft)
+
+
+def _prepare(options: Options) -> tuple[Store, Audit, Tokens | None, list[supervisor.Program]]:
+    tcp = options.operators or options.instances
+    if tcp and options.tokens is None:
+        raise StartError("--tokens is needed where a TCP address is listened on")
+    try:
+        options.state.mkdir(parents=True, exist_ok=True, mode=0o700)
+        _lock(options.state)
+        tokens = Tokens(options.tokens) if options.tokens is not None else None
+        programs = supervisor.read(options.supervise) if options.supervise is not None else []
+        return Store(options.state / STORE), Audit(options.state / AUDIT), tokens, programs
+    except TokenError as error:
+        raise StartError(f"{options.tokens}: {error}") from None
+    except (OSError, StoreError, SuperviseError) as error:
+        raise StartError(str(error)) from None
+
+
+async def run(options: Options) -> None:
+    """Serve until SIGTERM or SIGINT; StartError if it cannot begin."""
+    _raise_descriptors()
+    store, audit, tokens, programs = _prepare(options)
+    agent = Agent(store, audit, tokens.admits if tokens is not None else None, options.recover_s)
+    keeper = Supervisor(store, programs, lambda name, text: audit.write("agent", text, instance=name))
+    agent.restarter = keeper.restart
+    agent.supervised = keeper.table
+    links = Links(agent)
+    runner = web.AppRunner(api.application(agent, audit, tokens), access_log=None, shutdown_timeout=END_S)
+    await runner.setup()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    try:
+        agent.open()
+        await _listen(options, links, runner)
+        keeper.start()
+        log.info("agent ready, state in %s", options.state)
+        await stop.wait()
+    except OSError as error:
+        raise StartError(str(error)) from None
+    finally:
+        links.close()
+        await keeper.stop(options.stop_instances)
+        await runner.cleanup()
+        agent.close()
+        store.close()
+        audit.close()
+
+
+async def _listen(options: Options, links: Links, runner: web.AppRunner) -> None:
+    path = options.state / OPERATORS
+    path.unlink(missing_ok=True)
+    mask = os.umask(0o177)
+    try:
+        await web.UnixSite(runner, str(path)).start()
+    finally:
+        os.umask(mask)
+    if options.operators is not None:
+        await web.TCPSite(runner, *options.operators).start()
+        log.info("operators at %s:%d", *runner.addresses[-1][:2])
+    await links.listen_unix(options.state / INSTANCES)
+    if options.instances is not None:
+        port = await links.listen_tcp(*options.instances)
+        log.info("instances at %s:%d", options.instances[0], port)
--- /dev/null
+++ b/covetally/fleet/store.py
@@ -0,0 +1,235 @@
+"""The agent's memory on disk: SQLite with a write-ahead log, synced at every commit (sqlite.org/wal.html).
+
+Revisions are written once and never changed. Everything that belongs together is written in one transaction, and
+nothing is sent to an instance before the transaction that says so is on disk.
+"""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from covetally.fleet import document
+from covetally.fleet.document import Document
+
+FORMAT = 1
+CACHED = 64  # revisions kept in memory
+_SCHEMA = """
+CREATE TABLE meta (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE revisions (
+    number INTEGER PRIMARY KEY, parent INTEGER NOT NULL, at REAL NOT NULL, author TEXT NOT NULL,
+    reason TEXT NOT NULL, selector TEXT NOT NULL, digest TEXT NOT NULL, document TEXT NOT NULL);
+CREATE TABLE rollouts (
+    number INTEGER PRIMARY KEY, revision INTEGER NOT NULL, undo_revision INTEGER NOT NULL, selector TEXT NOT NULL,
+    author TEXT NOT NULL, reason TEXT NOT NULL, at REAL NOT NULL, head TEXT NOT NULL, ended INTEGER NOT NULL);
+CREATE TABLE members (
+    rollout INTEGER NOT NULL, name TEXT NOT NULL, row TEXT NOT NULL, PRIMARY KEY (rollout, name)) WITHOUT ROWID;
+CREATE TABLE instances (name TEXT PRIMARY KEY, row TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE processes (name TEXT PRIMARY KEY, pid INTEGER NOT NULL, born INTEGER NOT NULL) WITHOUT ROWID;
+"""
+
+
+class StoreError(Exception):
+    """The store cannot be used; the message names the file."""
+
+
+@dataclass(frozen=True, slots=True)
+class Revision:
+    """One numbered, immutable desired state of the whole fleet. `at` is Unix time in seconds."""
+
+    number: int
+    parent: int
+    at: float
+    author: str
+    reason: str
+    selector: str
+    digest: str
+    document: Document
+
+    def table(self, whole: bool = False) -> dict[str, Any]:
+        """For the API."""
+        table = {
+            "number": self.number, "parent": self.parent, "at": self.at, "author": self.author,
+            "reason": self.reason, "selector": self.selector, "digest": self.digest,
+        }  # fmt: skip
+        return table | {"layers": self.document.table()} if whole else table
+
+
+EMPTY = Revision(0, 0, 0.0, "", "nothing is managed", "", Document().digest(), Document())
+
+
+@dataclass(slots=True)
+class RolloutRow:
+    """A rollout as it is stored; `head` and `members` are those of `rollout.to_tables`."""
+
+    number: int
+    revision: int
+    undo_revision: int
+    selector: str
+    author: str
+    reason: str
+    at: float
+    head: dict[str, Any]
+    ended: bool
+
+
+class Store:
+    """One file. StoreError where it cannot be opened or is of another format."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self._cache: dict[int, Revision] = {}  # they never change
+        try:
+            self.new = not path.exists()
+            self._db = sqlite3.connect(path, isolation_level=None)
+            self._db.execute("PRAGMA journal_mode=WAL")
+            self._db.execute("PRAGMA synchronous=FULL")
+            if not self._db.execute("SELECT 1 FROM sqlite_master WHERE name='meta'").fetchone():
+                self.new = True
+                self._db.executescript(
+                    f"BEGIN;{_SCHEMA}INSERT INTO meta VALUES ('format', '{FORMAT}');COMMIT;"
+                )
+            (found,) = self._db.execute("SELECT value FROM meta WHERE key='format'").fetchone()
+        except (sqlite3.Error, TypeError) as error:
+            raise StoreError(f"{path}: {error}") from None
+        if found != str(FORMAT):
+            raise StoreError(f"{path}: format {found}, this agent reads {FORMAT}")
+
+    def close(self) -> None:
+        """Write back and close."""
+        self._db.close()
+
+    @contextmanager
+    def transaction(self) -> Iterator[None]:
+        """All or nothing, and on disk when it is left. May stand inside another: the outermost commits."""
+        if self._db.in_transaction:
+            yield
+            return
+        self._db.execute("BEGIN IMMEDIATE")
+        try:
+            yield
+        except BaseException:
+            self._db.execute("ROLLBACK")
+            raise
+        self._db.execute("COMMIT")
+
+    # --- meta -----------------------------------------------------------------------------------
+
+    def get(self, key: str, default: str = "") -> str:
+        """A value by its key."""
+        row = self._db.execute("SELECT value FROM meta WHERE key=?", (key,)).fetchone()
+        return row[0] if row else default
+
+    def set(self, key: str, value: str) -> None:
+        """Keep a value."""
+        self._db.execute("INSERT OR REPLACE INTO meta VALUES (?, ?)", (key, value))
+
+    # --- revisions ------------------------------------------------------------------------------
+
+    def add_revision(self, revision: Revision) -> None:
+        """Write a revision; its number must be new."""
+        self._db.execute(
+            "INSERT INTO revisions VALUES (?, ?, ?, ?, ?, ?, ?, ?)",
+            (
+                revision.number, revision.parent, revision.at, revision.author, revision.reason,
+                revision.selector, revision.digest, revision.document.text(),
+            ),
+        )  # fmt: skip
+
+    def head(self) -> Revision:
+        """The newest revision, EMPTY if there is none."""
+        return self._revision("ORDER BY number DESC LIMIT 1", ()) or EMPTY
+
+    def revision(self, number: int) -> Revision | None:
+        """One by its number."""
+        if number == 0:
+            return EMPTY
+        found = self._cache.get(number)
+        if found is None and (found := self._revision("WHERE number=?", (number,))) is not None:
+            while len(self._cache) >= CACHED:
+                del self._cache[next(iter(self._cache))]
+            self._cache[number] = found
+        return found
+
+    def revisions(self, after: int = -1, limit: int = 1000) -> list[Revision]:
+        """The newest first, those after a number."""
+        where = "WHERE number>? ORDER BY number DESC LIMIT ?"
+        return [_revision(row) for row in self._db.execute(f"SELECT * FROM revisions {where}", (after, limit))]
+
+    def _revision(self, where: str, values: tuple[Any, ...]) -> Revision | None:
+        row = self._db.execute(f"SELECT * FROM revisions {where}", values).fetchone()
+        return _revision(row) if row else None
+
+    # --- rollouts -------------------------------------------------------------------------------
+
+    def next_rollout(self) -> int:
+        """The number of the next rollout."""
+        (last,) = self._db.execute("SELECT coalesce(max(number), 0) FROM rollouts").fetchone()
+        return last + 1
+
+    def save_rollout(self, row: RolloutRow, members: dict[str, dict[str, Any]]) -> None:
+        """Write a rollout and those of its members that changed."""
+        self._db.execute(
+            "INSERT OR REPLACE INTO rollouts VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)",
+            (
+                row.number, row.revision, row.undo_revision, row.selector, row.author, row.reason, row.at,
+                json.dumps(row.head), int(row.ended),
+            ),
+        )  # fmt: skip
+        self._db.executemany(
+            "INSERT OR REPLACE INTO members VALUES (?, ?, ?)",
+            [(row.number, name, json.dumps(member)) for name, member in members.items()],
+        )
+
+    def rollouts(self, open_only: bool = False, limit: int = 100) -> list[RolloutRow]:
+        """The newest first."""
+        where = "WHERE ended=0" if open_only else ""
+        found = self._db.execute(f"SELECT * FROM rollouts {where} ORDER BY number DESC LIMIT ?", (limit,))
+        return [RolloutRow(*row[:7], json.loads(row[7]), bool(row[8])) for row in found]
+
+    def rollout(self, number: int) -> RolloutRow | None:
+        """One by its number."""
+        row = self._db.execute("SELECT * FROM rollouts WHERE number=?", (number,)).fetchone()
+        return RolloutRow(*row[:7], json.loads(row[7]), bool(row[8])) if row else None
+
+    def members(self, rollout: int) -> list[dict[str, Any]]:
+        """A rollout's members in the order of their names."""
+        found = self._db.execute("SELECT row FROM members WHERE rollout=? ORDER BY name", (rollout,))
+        return [json.loads(row[0]) for row in found]
+
+    # --- instances ------------------------------------------------------------------------------
+
+    def save_instances(self, rows: dict[str, dict[str, Any]]) -> None:
+        """Write what is known of instances."""
+        self._db.executemany(
+            "INSERT OR REPLACE INTO instances VALUES (?, ?)",
+            [(name, json.dumps(row)) for name, row in rows.items()],
+        )
+
+    def forget_instance(self, name: str) -> None:
+        """Know nothing more of it."""
+        self._db.execute("DELETE FROM instances WHERE name=?", (name,))
+
+    def instances(self) -> dict[str, dict[str, Any]]:
+        """All that is known, by name."""
+        found = self._db.execute("SELECT name, row FROM instances ORDER BY name")
+        return {name: json.loads(row) for name, row in found}
+
+    # --- supervised processes -------------------------------------------------------------------
+
+    def save_process(self, name: str, pid: int, born: int) -> None:
+        """A supervised process runs: its id and its start time, which together name it."""
+        self._db.execute("INSERT OR REPLACE INTO processes VALUES (?, ?, ?)", (name, pid, born))
+
+    def processes(self) -> dict[str, tuple[int, int]]:
+        """The last known process of each supervised instance."""
+        return {n: (p, b) for n, p, b in self._db.execute("SELECT name, pid, born FROM processes")}
+
+
+def _revision(row: tuple[Any, ...]) -> Revision:
+    return Revision(*row[:7], document.from_table(json.loads(row[7])))
--- a/covetally/operator/check.py
+++ b/covetally/operator/check.py
@@ -82,7 +82,7 @@
 def _problem(name: str, value: Any, managed: bool) -> Problem | None:
     key = schema.find(name)
     if key is None:
-        near = difflib.get_close_matches(name, [k.name for k in KEYS], 1, 0.5)
+        near = difflib.get_close_matches(name, [k.name for k in KEYS], 1, 0.4)
         return Problem(name, value, "no such key", f"the nearest is {near[0]}" if near else "")
     if managed and not key.managed:
         return Problem(name, value, "cannot be set by an agent", "set it in the sidecar's own file")
--- /dev/null
+++ b/tests/control/test_manager.py
@@ -0,0 +1,308 @@
+"""A managed sidecar, a real process, and an agent by script: framed here by hand, not by the sidecar's code."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import signal
+import struct
+from contextlib import asynccontextmanager
+
+import pytest
+
+from covetally.rig.world import Shape, World
+
+WAIT_S = 25.0
+
+
+def digest(values) -> str:
+    text = json.dumps(values, sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+class Agent:
+    """Takes links; each hello, and all that follows, is in `got`."""
+
+    def __init__(self) -> None:
+        self.links: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self.came = asyncio.Event()
+        self.answer: bytes | None = b'{"t":"welcome","version":1}'
+        self.server: asyncio.Server
+
+    async def start(self, path) -> None:
+        self.server = await asyncio.start_unix_server(self._serve, path)
+
+    async def _serve(self, reader, writer) -> None:
+        self.links.append((reader, writer))
+        self.came.set()
+
+    async def link(self):
+        """The next link, greeted; with its hello."""
+        await self.came.wait()
+        self.came.clear()
+        reader, writer = self.links[-1]
+        hello = await self.read(reader)
+        if self.answer is not None:
+            writer.write(struct.pack(">I", len(self.answer)) + self.answer)
+        return reader, writer, hello
+
+    async def read(self, reader, kind: str = "") -> dict:
+        while True:
+            (size,) = struct.unpack(">I", await reader.readexactly(4))
+            message = json.loads(await reader.readexactly(size))
+            if not kind or message["t"] == kind:
+                return message
+
+    def send(self, writer, **message) -> None:
+        data = json.dumps(message).encode()
+        writer.write(struct.pack(">I", len(data)) + data)
+
+    async def apply(self, reader, writer, revision: int, values: dict) -> dict:
+        self.send(writer, t="apply", revision=revision, digest=digest(values), values=values)
+        return await self.read(reader, "ack")
+
+    def close(self) -> None:
+        self.server.close()
+        for _, writer in self.links:
+            writer.close()
+
+
+@asynccontextmanager
+async def managed(more: str = "", keep: bool = True, start: bool = True):
+    async with asyncio.timeout(WAIT_S), World(Shape(nodes=2, instances=1)) as world:
+        instance = world.instances["a0"]
+        agent = Agent()
+        await agent.start(world.folder / "agent.sock")
+        kept = f'keep = "{instance.folder}/keep.json"\n' if keep else ""
+        (instance.folder / "operator.toml").write_text(
+            f'[control]\nagent = "unix:{world.folder}/agent.sock"\n{kept}heartbeat_s = 0.2\n'
+            f"redial_min_s = 0.05\nredial_max_s = 0.1\n{more}\n"
+        )
+        instance.arguments = ("--operator", str(instance.folder / "operator.toml"))
+        if start:
+            await world.start_instance("a0")
+        try:
+            yield world, agent
+        finally:
+            agent.close()
+
+
+async def health(world) -> int:
+    reader, writer = await asyncio.open_connection(*world.instances["a0"].address)
+    writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    line = await reader.readline()
+    writer.close()
+    return int(line.split()[1])
+
+
+def test_it_says_who_it_is_and_how_it_does():
+    async def main():
+        async with managed('[control.labels]\nzone = "milano"') as (world, agent):
+            reader, writer, hello = await agent.link()
+            assert hello["t"] == "hello" and hello["versions"] == [1]
+            assert (hello["name"], hello["labels"]) == ("a0", {"zone": "milano"})
+            assert hello["pid"] == world.instances["a0"].process.pid
+            assert (hello["revision"], hello["digest"]) == (0, digest({}))
+            beat = await agent.read(reader, "beat")
+            assert set(beat["counts"]) == {"module-lookup", "calib-update", "batch-checkin", "loan-transfer"}
+            assert beat["state"] == "serving"
+            agent.send(writer, t="ask", id=7, what="snapshot")
+            answer = await agent.read(reader, "answer")
+            assert answer["id"] == 7
+            nodes = {n["node"]: n for n in answer["data"]["nodes"]}
+            assert set(nodes) == {"n0", "n1"} and nodes["n0"]["k"] == 1
+            assert answer["data"]["limits"]["client_connections"][1] == 256
+            agent.send(writer, t="ask", id=8, what="logs")
+            assert any("managed as a0" in x["text"] for x in (await agent.read(reader, "answer"))["data"])
+            agent.send(writer, t="ask", id=9, what="nonsense")
+            assert "nonsense" in (await agent.read(reader, "answer"))["error"]
+            agent.send(writer, t="whatever", x=1)  # a newer agent's word is passed over
+            await agent.read(reader, "beat")
+
+    asyncio.run(main())
+
+
+def test_it_takes_refuses_or_holds_a_revision_whole():
+    async def main():
+        async with managed() as (world, agent):
+            reader, writer, _ = await agent.link()
+            ack = await agent.apply(reader, writer, 1, {"limits.max_attempts": 2, "log.level": "debug"})
+            assert (ack["outcome"], ack["held"]) == ("took", ack["digest"])
+            bad = {"limits.max_attempts": 99, "classes.nope.aim_ms": 5, "log.level": "error"}
+            refused = await agent.apply(reader, writer, 2, bad)
+            assert refused["outcome"] == "refused" and refused["held"] == ack["digest"]
+            assert {e["key"] for e in refused["errors"]} == {"limits.max_attempts", "classes.nope.aim_ms"}
+            assert all(e["reason"] for e in refused["errors"])
+            mine = await agent.apply(reader, writer, 3, {"control.agent": "unix:/tmp/x"})
+            assert mine["outcome"] == "refused", "an agent must not saw off the branch that it sits on"
+            held = await agent.apply(reader, writer, 4, {"process.backlog": 77, "log.level": "error"})
+            assert (held["outcome"], held["keys"]) == ("needs_restart", ["process.backlog"])
+            assert held["held"] == ack["digest"], "not half applied"
+            agent.send(writer, t="ask", id=1, what="snapshot")
+            now = (await agent.read(reader, "answer"))["data"]["managed"]
+            assert now["values"] == {"limits.max_attempts": 2, "log.level": "debug"}
+            assert now["pending"] == {"process.backlog": 77, "log.level": "error"}
+            agent.send(writer, t="apply", revision=5, digest=digest({"x": 1}), values={"log.level": "info"})
+            assert (await agent.read(reader, "ack"))["outcome"] == "refused"
+            old = await agent.apply(reader, writer, 0, {})
+            assert old["outcome"] == "refused" and "older" in old["errors"][0]["reason"]
+
+    asyncio.run(main())
+
+
+def test_an_answer_that_was_lost_is_given_again_and_nothing_is_applied_twice():
+    async def main():
+        async with managed() as (world, agent):
+            reader, writer, _ = await agent.link()
+            values = {"limits.max_attempts": 2}
+            agent.send(writer, t="apply", revision=1, digest=digest(values), values=values)
+            await agent.read(reader, "ack")
+            writer.transport.abort()  # as if it had never come
+            reader, writer, hello = await agent.link()
+            assert (hello["revision"], hello["digest"], hello["values"]) == (1, digest(values), values)
+            assert (await agent.apply(reader, writer, 1, values))["outcome"] == "took"
+            assert world.instances["a0"].log.count("revision 1: took") == 2
+            assert json.loads((world.instances["a0"].folder / "keep.json").read_text())["good"]["revision"] == 0
+
+    asyncio.run(main())
+
+
+def test_it_serves_on_and_dials_again_whatever_the_agent_does():
+    async def main():
+        async with managed() as (world, agent):
+            replies = [
+                b'{"t":"deny","reason":"not you"}', b'{"t":"welcome","version":9}', b"nonsense", b"[]", None,
+                b'{"t":"welcome","version":1}',
+            ]  # fmt: skip
+            for reply in replies:
+                agent.answer = reply
+                reader, writer, hello = await agent.link()
+                assert hello["name"] == "a0"
+                assert await health(world) == 200
+                if reply is None:
+                    writer.write(b"\xff\xff\xff\xff")
+            await agent.read(reader, "beat")
+            assert "Traceback" not in world.instances["a0"].log
+
+    asyncio.run(main())
+
+
+def test_an_agent_that_falls_silent_is_left_and_dialled_again():
+    """A black hole: the link stands, nothing comes. It would stand for good."""
+
+    async def main():
+        async with managed() as (world, agent):
+            await agent.link()
+            _, _, hello = await agent.link()
+            assert hello["t"] == "hello"
+
+    asyncio.run(main())
+
+
+def test_drain_and_resume_show_in_its_health_and_it_serves_all_the_same():
+    async def main():
+        async with managed() as (world, agent):
+            reader, writer, _ = await agent.link()
+            agent.send(writer, t="do", id=1, what="drain")
+            answer = await agent.read(reader, "answer")
+            assert (answer["error"], answer["state"]) == ("", "draining")
+            assert await health(world) == 503
+            agent.send(writer, t="do", id=2, what="resume")
+            assert (await agent.read(reader, "answer"))["state"] == "serving"
+            assert await health(world) == 200
+            agent.send(writer, t="do", id=3, what="restart")
+            assert "may_restart" in (await agent.read(reader, "answer"))["error"]
+            agent.send(writer, t="do", id=4, what="dance")
+            assert "dance" in (await agent.read(reader, "answer"))["error"]
+
+    asyncio.run(main())
+
+
+def test_told_to_restart_it_says_bye_ends_with_0_and_comes_back_with_what_waited():
+    async def main():
+        async with managed("may_restart = true") as (world, agent):
+            reader, writer, first = await agent.link()
+            values = {"process.backlog": 77}
+            assert (await agent.apply(reader, writer, 3, values))["outcome"] == "needs_restart"
+            agent.send(writer, t="do", id=1, what="restart")
+            assert (await agent.read(reader, "bye"))["reason"] == "ends"
+            assert await world.instances["a0"].process.wait() == 0
+            await world.start_instance("a0")
+            _, _, hello = await agent.link()
+            assert (hello["revision"], hello["digest"], hello["pending"]) == (3, digest(values), "")
+            assert hello["boot"] != first["boot"]
+
+    asyncio.run(main())
+
+
+def test_a_revision_that_it_dies_with_soon_is_out_at_its_next_start_and_said_so():
+    async def main():
+        async with managed() as (world, agent):
+            reader, writer, _ = await agent.link()
+            values = {"limits.max_attempts": 2}
+            assert (await agent.apply(reader, writer, 1, values))["outcome"] == "took"
+            world.kill_instance("a0")
+            await world.instances["a0"].process.wait()
+            await world.start_instance("a0")
+            _, _, hello = await agent.link()
+            assert (hello["revision"], hello["digest"]) == (0, digest({}))
+            assert hello["failed"] == digest(values) and "ended soon" in hello["reason"]
+
+    asyncio.run(main())
+
+
+def test_what_it_ends_with_in_good_order_it_starts_with_also_without_an_agent():
+    async def main():
+        async with managed() as (world, agent):
+            reader, writer, _ = await agent.link()
+            values = {"limits.max_attempts": 2}
+            await agent.apply(reader, writer, 1, values)
+            agent.close()
+            assert await world.stop_instance("a0") == 0
+            await world.start_instance("a0")
+            assert json.loads((world.instances["a0"].folder / "keep.json").read_text())["good"]["revision"] == 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("text", ["{", json.dumps({"format": 1})])
+def test_a_spoilt_memory_is_logged_and_the_sidecar_starts_with_its_own_file(text):
+    async def main():
+        async with managed(start=False) as (world, agent):
+            (world.instances["a0"].folder / "keep.json").write_text(text)
+            await world.start_instance("a0")
+            _, _, hello = await agent.link()
+            assert hello["digest"] == digest({})
+            assert "nothing managed is in force" in world.instances["a0"].log
+
+    asyncio.run(main())
+
+
+def test_a_kept_revision_that_this_sidecar_cannot_use_any_more_does_not_keep_it_from_starting():
+    async def main():
+        async with managed(start=False) as (world, agent):
+            values = {"classes.gone.aim_ms": 5}
+            held = {"revision": 4, "digest": digest(values), "values": values}
+            table = {"format": 1, "good": held, "trial": None, "pending": None, "failed": None, "reason": ""}
+            (world.instances["a0"].folder / "keep.json").write_text(json.dumps(table))
+            await world.start_instance("a0")
+            _, _, hello = await agent.link()
+            assert (hello["digest"], hello["failed"]) == (digest({}), digest(values))
+            assert "no such class" in hello["reason"]
+
+    asyncio.run(main())
+
+
+def test_a_reload_keeps_what_the_agent_has_set():
+    async def main():
+        async with managed() as (world, agent):
+            reader, writer, _ = await agent.link()
+            await agent.apply(reader, writer, 1, {"limits.max_attempts": 2})
+            world.instances["a0"].process.send_signal(signal.SIGHUP)
+            while "taken up its configuration anew" not in world.instances["a0"].log:
+                await asyncio.sleep(0.02)
+            agent.send(writer, t="ask", id=1, what="snapshot")
+            assert (await agent.read(reader, "answer"))["data"]["limits"]["max_attempts"] == 2
+
+    asyncio.run(main())
