Manage many sidecars: cindersail agent, rollouts, and the instance's side of them

Changing one setting on all sidecars during an incident, and knowing who did not take it, was impossible. An agent now holds numbered immutable revisions in SQLite, rolls them out by waves with a health gate, and names every instance that did not take one; instances dial out and take a revision whole or refuse it with key and reason; the command lists, shows, changes, restarts, drains, undoes.

--- a/covetally/cli/client.py
+++ b/covetally/cli/client.py
@@ -188,9 +188,11 @@
                             else:
                                 raise ConnectionResetError
         except (Failure, aiohttp.ClientError, OSError) as error:
-            lasting = isinstance(error, Failure) and error.exit_code != UNREACHABLE
-            if lasting or loop.time() - seen > patience_s:
+            if isinstance(error, Failure) and error.exit_code != UNREACHABLE:
                 raise
+            if loop.time() - seen > patience_s:
+                text = f"the agent went away while rollout {number} ran; it goes on when the agent is back"
+                raise Failure(text, UNREACHABLE) from None
             await asyncio.sleep(0.3)
 
 
--- a/covetally/rig/managed.py
+++ b/covetally/rig/managed.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from covetally.rig.relay import Relay
+from covetally.rig.wire import request, take_message
 from covetally.rig.world import Shape, World
 
 START_S = 20.0
@@ -58,7 +59,7 @@
         instance.arguments = ("--operator", str(instance.folder / "operator.toml"))
 
     async def _stop(self) -> None:
-        await self.kill_agent()
+        await self.end_agent()
         for relay in self.relays.values():
             await relay.stop()
         await super()._stop()
@@ -80,6 +81,31 @@
                     raise AgentError(path.read_text()[-2000:])
                 await asyncio.sleep(0.02)
 
+    def supervise_file(self) -> Path:
+        """Write what `cindersail agent --supervise` reads, for all instances."""
+        path, parts = self.folder / "supervise.toml", []
+        for name, instance in self.instances.items():
+            command, env = self.command_line(name)
+            parts.append(
+                f"[[instance]]\nname = {json.dumps(name)}\ncommand = {json.dumps(command)}\n"
+                f"log = {json.dumps(str(instance.folder / 'log'))}\n"
+                f"env = {{ EDGE_CONFIG = {json.dumps(env['EDGE_CONFIG'])} }}\n"
+            )
+        path.write_text("\n".join(parts))
+        return path
+
+    async def start_supervised(self) -> None:
+        """Start the agent and let it start the instances; until all are connected."""
+        await self.start_agent("--supervise", str(self.supervise_file()), "--stop-instances")
+        await asyncio.gather(*(self.ready(name) for name in self.instances))
+        await self.connected()
+
+    async def end_agent(self) -> int:
+        """SIGTERM; its exit status. What it supervises has ended too."""
+        if self.agent is not None and self.agent.returncode is None:
+            self.agent.terminate()
+        return await self.agent_ended()
+
     async def kill_agent(self) -> None:
         """SIGKILL."""
         if self.agent is not None and self.agent.returncode is None:
@@ -114,10 +140,23 @@
         """Until these instances, or else all, are connected to the agent."""
         wanted = set(names or self.instances)
         while True:
-            found = (await self.table("list"))["instances"]
+            found = (await self.get("/v1/instances"))["instances"]
             if wanted <= {item["name"] for item in found if item["connected"]}:
                 return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.05)
+
+    async def get(self, path: str) -> Any:
+        """What the agent's API answers, by the rig's own HTTP."""
+        reader, writer = await asyncio.open_unix_connection(self.state / "operators.sock")
+        try:
+            writer.write(request("GET", path, {"Host": "agent", "Connection": "close"}))
+            buffer = bytearray(await reader.read())
+            message = take_message(buffer, 0)
+            if message is None:
+                raise AgentError(f"{path}: no whole answer")
+            return json.loads(message.body)
+        finally:
+            writer.close()
 
     def kept(self, name: str) -> dict[str, Any]:
         """What an instance's own file says that it holds."""
--- /dev/null
+++ b/tests/fleet/test_parts.py
@@ -0,0 +1,284 @@
+"""The agent's parts without processes: selectors, documents, store, audit, tokens, keeping."""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+import subprocess
+import sys
+import textwrap
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+
+from covetally.fleet import audit, document, supervisor, tokens
+from covetally.fleet.api import plan_from
+from covetally.fleet.document import Document
+from covetally.fleet.keeping import Keeping
+from covetally.fleet.registry import sane_counts, sane_labels
+from covetally.fleet.rollout import Plan
+from covetally.fleet.selector import Selector, SelectorError, parse
+from covetally.fleet.store import Revision, RolloutRow, Store, StoreError
+
+# --- selectors ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "text, name, labels, meant",
+    [
+        ("", "a0", {}, True),
+        ("zone=a", "x", {"zone": "a"}, True),
+        ("zone=a", "x", {}, False),
+        ("zone=a|b,name=x*", "x9", {"zone": "b"}, True),
+        ("zone=a|b,name=x*", "y9", {"zone": "b"}, False),
+        ("name=a[12]", "a3", {}, False),
+    ],
+)
+def test_a_selector_means_whom_it_says(text, name, labels, meant):
+    assert parse(text).matches(name, labels) is meant
+
+
+@pytest.mark.parametrize("text", ["zone", "=a", "zone=", "zone=a,zone=b", "z one=a", "x" * 20_000])
+def test_what_is_no_selector_is_said_to_be_none(text):
+    with pytest.raises(SelectorError):
+        parse(text)
+
+
+WORDS = st.sampled_from(["a", "b", "c", "a*", "?"])
+SELECTORS = st.dictionaries(st.sampled_from(["zone", "name", "tier"]), st.lists(WORDS, min_size=1, max_size=3))
+
+
+@profile(max_examples=300, derandomize=True, deadline=None, database=None)
+@given(SELECTORS, SELECTORS, st.sampled_from("abc"), st.dictionaries(st.sampled_from(["zone", "tier"]),
+                                                                     st.sampled_from("abc")))  # fmt: skip
+def test_two_selectors_that_mean_one_instance_overlap(one, other, name, labels):
+    first, second = (parse(",".join(f"{k}={'|'.join(v)}" for k, v in x.items())) for x in (one, other))
+    assert parse(str(first)) == first
+    if first.matches(name, labels) and second.matches(name, labels):
+        assert first.overlaps(second) and second.overlaps(first)
+
+
+def test_selectors_that_cannot_mean_the_same_instance_do_not_overlap():
+    assert not parse("zone=a").overlaps(parse("zone=b,name=x"))
+    assert not parse("name=a*").overlaps(parse("name=b1|c2"))
+    assert parse("zone=a").overlaps(parse("tier=x")), "an instance may have both"
+
+
+# --- documents ------------------------------------------------------------------------------------
+
+
+def test_layers_come_in_their_order_and_an_instance_knows_where_a_setting_is_from():
+    made = Document().replaced(parse("zone=a"), {"x": 1, "y": 1}).replaced(Selector(), {"x": 0, "z": 0})
+    assert [str(x.selector) for x in made.layers] == ["", "zone=a"]
+    assert made.effective("n", {"zone": "a"}) == {"x": 1, "y": 1, "z": 0}
+    assert made.effective("n", {}) == {"x": 0, "z": 0}
+    assert made.origin("n", {"zone": "a"}) == {"x": "zone=a", "y": "zone=a", "z": ""}
+    assert document.from_table(made.table()) == made
+    assert made.replaced(parse("zone=a"), {}) == Document().replaced(Selector(), {"x": 0, "z": 0})
+
+
+def test_the_difference_names_every_key():
+    old = Document().replaced(Selector(), {"x": 0, "y": 1})
+    new = old.replaced(Selector(), {"x": 2, "y": 1}).replaced(parse("zone=a"), {"q": 5})
+    assert document.difference(old, new) == [
+        {"selector": "", "key": "x", "old": 0, "new": 2},
+        {"selector": "zone=a", "key": "q", "old": None, "new": 5},
+    ]
+
+
+# --- store ----------------------------------------------------------------------------------------
+
+
+def _revision(number: int) -> Revision:
+    made = Document().replaced(Selector(), {"limits.max_attempts": number})
+    return Revision(number, number - 1, 1.5, "ann", "why", "", made.digest(), made)
+
+
+def test_the_store_gives_back_what_it_was_given(tmp_path):
+    store = Store(tmp_path / "db")
+    assert store.new and store.head().number == 0
+    row = RolloutRow(1, 1, 0, "zone=a", "ann", "why", 2.5, {"phase": "running"}, False)
+    with store.transaction():
+        store.add_revision(_revision(1))
+        store.save_rollout(row, {"i1": {"name": "i1"}, "i0": {"name": "i0"}})
+        store.save_instances({"i0": {"digest": "d"}})
+        store.save_process("i0", 12, 34)
+        store.set("settled", "1")
+    store.close()
+    store = Store(tmp_path / "db")
+    assert not store.new
+    assert store.head() == store.revision(1) == _revision(1)
+    assert store.rollout(1) == row and store.rollouts(open_only=True) == [row]
+    assert [m["name"] for m in store.members(1)] == ["i0", "i1"]
+    assert store.instances() == {"i0": {"digest": "d"}}
+    assert store.processes() == {"i0": (12, 34)}
+    assert store.next_rollout() == 2 and store.get("settled") == "1"
+
+
+def test_a_transaction_is_whole_or_nothing_also_when_the_process_is_killed_in_it(tmp_path):
+    code = textwrap.dedent("""
+        import os, signal, sys
+        from pathlib import Path
+        from tests.fleet.test_parts import _revision
+        from covetally.fleet.store import Store
+        store = Store(Path(sys.argv[1]))
+        with store.transaction():
+            store.add_revision(_revision(1))
+        with store.transaction():
+            store.add_revision(_revision(2))
+            store.set("settled", "2")
+            os.kill(os.getpid(), signal.SIGKILL)
+    """)
+    done = subprocess.run([sys.executable, "-c", code, str(tmp_path / "db")], check=False)
+    assert done.returncode == -9
+    store = Store(tmp_path / "db")
+    assert store.head().number == 1 and store.get("settled", "0") == "0"
+    with pytest.raises(ZeroDivisionError), store.transaction():
+        store.add_revision(_revision(2))
+        raise ZeroDivisionError
+    assert store.head().number == 1
+
+
+def test_a_store_that_cannot_be_read_is_one_line(tmp_path):
+    (tmp_path / "bad").write_bytes(b"not a database at all, but long enough to look at" * 100)
+    with pytest.raises(StoreError, match="bad"):
+        Store(tmp_path / "bad")
+    store = Store(tmp_path / "db")
+    store.set("format", "99")
+    store.close()
+    with pytest.raises(StoreError, match="format 99"):
+        Store(tmp_path / "db")
+    assert sqlite3.connect(tmp_path / "db").execute("PRAGMA journal_mode").fetchone() == ("wal",)
+
+
+# --- audit ----------------------------------------------------------------------------------------
+
+
+def test_the_audit_log_shows_what_was_changed_or_cut(tmp_path):
+    path = tmp_path / "audit.log"
+    log = audit.Audit(path)
+    for number in range(3):
+        log.write("ann", "change", revision=number)
+    log.close()
+    log = audit.Audit(path)
+    log.write("bob", "undo", revision=9)
+    assert audit.verify(path) == []
+    assert [e["who"] for e in log.tail(2)] == ["bob", "ann"]
+    lines = path.read_text().splitlines()
+    path.write_text("\n".join([lines[0], lines[1].replace("ann", "eve"), *lines[2:]]) + "\n")
+    assert audit.verify(path) == ["line 3: does not follow from the line before"]
+    path.write_text("\n".join([lines[0], *lines[2:]]) + "\n")
+    assert audit.verify(path) == ["line 2: does not follow from the line before"]
+
+
+def test_a_line_cut_off_by_a_crash_is_named_and_the_log_goes_on(tmp_path):
+    path = tmp_path / "audit.log"
+    log = audit.Audit(path)
+    log.write("ann", "change")
+    log.close()
+    path.write_text(path.read_text() + '{"at": 1, "wh')
+    log = audit.Audit(path)
+    log.write("bob", "change")
+    assert audit.verify(path) == ["line 2: cannot be read"]
+    assert [e["who"] for e in log.tail(5)] == ["bob", "ann"]
+
+
+# --- tokens ---------------------------------------------------------------------------------------
+
+SECRET, OTHER = "a" * 20, "b" * 20
+
+
+def test_tokens_give_their_right_only_and_change_under_way(tmp_path):
+    path = tmp_path / "tokens"
+    path.write_text(f"# who\nann operator {SECRET}\na* instance {OTHER}  # sidecars\n")
+    known = tokens.Tokens(path)
+    assert known.who(SECRET, ("operator",)).name == "ann"
+    assert known.who(SECRET, ("instance",)) is None and known.who("x", ("operator",)) is None
+    assert known.admits(OTHER, "a7") and not known.admits(OTHER, "b7") and not known.admits(SECRET, "a7")
+    path.write_text(f"bob operator {OTHER}\n")
+    os.utime(path, ns=(1, 1))
+    assert known.who(SECRET, ("operator",)) is None and known.who(OTHER, ("operator",)).name == "bob"
+    path.write_text("bob operator")
+    assert known.who(OTHER, ("operator",)).name == "bob", "a mistake changes nothing"
+    path.unlink()
+    assert known.who(OTHER, ("operator",)).name == "bob"
+
+
+@pytest.mark.parametrize("text", ["ann operator", f"ann boss {SECRET}", "ann reader short"])
+def test_a_mistake_in_the_tokens_names_its_line(text):
+    with pytest.raises(tokens.TokenError, match="line 2"):
+        tokens.parse("\n" + text)
+
+
+# --- keeping --------------------------------------------------------------------------------------
+
+
+def test_a_process_that_ends_is_started_again_later_each_time_and_a_loop_is_named():
+    keeping, now, pauses = Keeping(), 100.0, []
+    for _ in range(6):
+        assert keeping.due(now)
+        keeping.started(now)
+        now += 1.0
+        keeping.ended(now, "status 1")
+        pauses.append(keeping.start_at - now)
+        now = keeping.start_at
+    assert pauses == [1.0, 2.0, 4.0, 8.0, 60.0, 60.0]
+    assert keeping.looping and keeping.last == "status 1"
+    keeping.started(now)
+    now += 11.0
+    keeping.ended(now, "status 1")
+    assert not keeping.looping, "it has lived"
+
+
+def test_a_planned_restart_waits_for_nothing_and_a_stop_starts_nothing():
+    keeping = Keeping()
+    keeping.started(0.0)
+    keeping.restart()
+    keeping.ended(0.5, "status 0")
+    assert keeping.due(0.5)
+    keeping.started(0.5)
+    keeping.stop()
+    keeping.ended(1.0, "status 0")
+    assert not keeping.due(1e9)
+
+
+# --- what comes from outside ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("", "instance"),
+        ("[[instance]]\nname = 'a'\n", "command"),
+        ("[[instance]]\nname = 'a'\ncommand = ['x']\nstop = 3\n", "no such key: stop"),
+        ("[[instance]]\nname = 'a'\ncommand = ['x']\n" * 2, "twice"),
+        ("[[instance]]\nname = 'a'\ncommand = ['x']\nstop_s = -1\n", "stop_s"),
+        ("x = ", "Invalid"),
+    ],
+)
+def test_a_file_of_instances_that_will_not_do_is_one_line(tmp_path, text, said):
+    (tmp_path / "f").write_text(text)
+    with pytest.raises(supervisor.SuperviseError, match=said):
+        supervisor.read(tmp_path / "f")
+
+
+@pytest.mark.parametrize(
+    "table, said",
+    [
+        ({"canary": -1}, "plan.canary"), ({"max_out": 0}, "plan.max_out"), ({"max_out": 2.5}, "plan.max_out"),
+        ({"soak_s": "x"}, "plan.soak_s"), ({"shares": [0.5, 0.2]}, "plan.shares"), ({"shares": 3}, "plan.shares"),
+        ({"restart": 1}, "plan.restart"), ({"on_trouble": "cry"}, "plan.on_trouble"), ({"x": 1}, "no such key"),
+        ({"soak_s": float("nan")}, "plan.soak_s"),
+    ],
+)  # fmt: skip
+def test_a_plan_that_will_not_do_names_its_key(table, said):
+    with pytest.raises(Exception, match=said):
+        plan_from(table, Plan())
+
+
+def test_what_an_instance_says_of_itself_is_taken_for_no_more_than_it_is():
+    assert sane_counts({"a": [1, 2, 3, 4], "b": [1], "c": "x", "d": [1, 2, 3, True]}) == {"a": [1, 2, 3, 4]}
+    assert sane_labels({"zone": "a", "x": 3}) == {"zone": "a"}
+    assert len(sane_labels({str(i): "x" for i in range(99)})) == 32
