--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: demo test
+.PHONY: demo test bench
 
 .venv/ready: requirements.txt requirements-tools.txt requirements-dev.txt pyproject.toml
 	test -x $(BIN)/pip || $(PYTHON) -m venv .venv
@@ -17,3 +17,6 @@
 	$(BIN)/ruff check .
 	$(BIN)/python -m pytest -n 4
 
+
+bench: .venv/ready
+	$(BIN)/python -m benchmarks
--- a/covetally/cli/main.py
+++ b/covetally/cli/main.py
@@ -59,22 +59,27 @@
 
 
 @main.command()
-@click.option("--seconds", type=click.FloatRange(8, 600), default=29.0, show_default=True, help="How long.")
+@click.option("--seconds", type=click.FloatRange(8, 3600), help="How long.  [29; managed: 600]")
 @click.option("--nodes", type=click.IntRange(1, 60), default=6, show_default=True, help="Ledger nodes.")
 @click.option("--instances", type=click.IntRange(1, 60), default=3, show_default=True, help="Sidecars.")
 @click.option("--rate", type=click.FloatRange(1, 2000), default=200.0, show_default=True, help="Requests/s.")
 @click.option("--seed", type=int, default=1, show_default=True, help="Of the schedule and the nodes.")
+@click.option("--managed", is_flag=True, help="Under an agent instead, to try the other commands on.")
 @click.option("--json", "as_json", is_flag=True, help="The account for machines; progress goes to stderr.")
-def demo(seconds: float, nodes: int, instances: int, rate: float, seed: int, as_json: bool) -> None:
+def demo(
+    seconds: float | None, nodes: int, instances: int, rate: float, seed: int, managed: bool, as_json: bool
+) -> None:
     """Play nodes, sidecars and clients on this machine, with troubles, and judge the account.
 
     Exit status 0: every request had one final answer and all rules were kept; 1: one was broken.
     """
-    from covetally.rig.demo import play
+    from covetally.rig.demo import play, play_managed
     from covetally.rig.world import Shape
 
     shape = Shape(nodes=nodes, instances=instances, seed=seed)
-    sys.exit(play(shape, seconds, rate, as_json))
+    if managed:
+        sys.exit(play_managed(shape, seconds or 600.0, rate))
+    sys.exit(play(shape, seconds or 29.0, rate, as_json))
 
 
 _SCRIPTS = {
--- a/covetally/fleet/rollout.py
+++ b/covetally/fleet/rollout.py
@@ -222,6 +222,10 @@
             member.base = member.now = (0, 0)
         member.connected, member.boot, member.has, member.holds = True, boot, has, holds
         if self.ended:
+            if failed == member.target != has and member.state is State.TOOK:
+                self._set(now, member, State.REFUSED, reason or "the process ended with it")
+                if self.phase is Phase.DONE:
+                    self._end(Phase.INCOMPLETE, f"{name} has lost it again")
             return self._late(now, member)
         undoing = self.phase is Phase.UNDOING
         if member.state in (State.REFUSED, State.SUPERSEDED, State.UNDONE):
--- a/covetally/rig/demo.py
+++ b/covetally/rig/demo.py
@@ -18,6 +18,7 @@
 from covetally.rig import site
 from covetally.rig.account import Ask, Verdict
 from covetally.rig.load import Load, Plan
+from covetally.rig.managed import Managed
 from covetally.rig.world import Shape, World
 
 REFRESH_S = 0.5
@@ -152,6 +153,31 @@
         console.print(f"and {len(verdict.breaks) - 20} more")
 
 
+async def _stay(shape: Shape, seconds: float, rate: float, console: Console) -> Verdict:
+    """Sidecars under an agent, with clients asking, until the time is over or somebody interrupts."""
+    async with Managed(shape, control="heartbeat_s = 1\n") as world:
+        await world.start_supervised()
+        console.print(f"An agent manages {len(world.instances)} sidecars. In another shell:")
+        console.print(f"    export CINDERSAIL_AGENT={world.agent_address}")
+        console.print("    cindersail list")
+        console.print(f"It stays for {seconds:g} s or until it is interrupted (Ctrl-C).")
+        plan = Plan(site.LOAD_CLASSES, site.TENANTS, tuple(world.instances), rate, seconds, shape.seed)
+        addresses = {name: instance.address for name, instance in world.instances.items()}
+        await Load(world.account, addresses, plan).play(plan.draw())
+        return world.account.judge()
+
+
+def play_managed(shape: Shape, seconds: float, rate: float) -> int:
+    """A managed fleet to try the command on; the exit status as for `play`, 0 if it was interrupted."""
+    console = Console(soft_wrap=True, highlight=False)
+    try:
+        verdict = asyncio.run(_stay(shape, seconds, rate, console))
+    except KeyboardInterrupt:
+        return 0
+    report(verdict, console)
+    return 0 if verdict.kept else 1
+
+
 def play(shape: Shape, seconds: float, rate: float, as_json: bool) -> int:
     """Run the demonstration; the exit status: 0 if the rules were kept, 1 if one was broken."""
     console = Console(file=sys.stderr if as_json else sys.stdout)
--- a/covetally/rig/managed.py
+++ b/covetally/rig/managed.py
@@ -14,6 +14,7 @@
 from covetally.rig.world import Shape, World
 
 START_S = 20.0
+QUICK = "heartbeat_s = 0.5"
 
 
 class AgentError(RuntimeError):
@@ -24,14 +25,14 @@
     """A world whose instances dial an agent, by a relay each where `relayed` names them."""
 
     def __init__(
-        self, shape: Shape | None = None, relayed: tuple[str, ...] = (), control: str = "", own: str = ""
+        self, shape: Shape | None = None, relayed: tuple[str, ...] = (), control: str = QUICK
     ) -> None:
         super().__init__(shape)
         self.state = self.folder / "agent"
         self.state.mkdir()
         self.relays: dict[str, Relay] = {}
         self.agent: asyncio.subprocess.Process | None = None
-        self._relayed, self._control, self._own = relayed, control, own
+        self._relayed, self._control = relayed, control
 
     @property
     def agent_address(self) -> str:
@@ -52,8 +53,8 @@
             await self.relays[name].start(socket)
         zone = "abc"[number % 3]
         (instance.folder / "operator.toml").write_text(
-            f'{self._own}\n[control]\nagent = "unix:{socket}"\nkeep = "{instance.folder}/keep.json"\n'
-            f'may_restart = true\nheartbeat_s = 0.5\nredial_min_s = 0.1\nredial_max_s = 0.5\n{self._control}\n'
+            f'[control]\nagent = "unix:{socket}"\nkeep = "{instance.folder}/keep.json"\n'
+            f"may_restart = true\nredial_min_s = 0.1\nredial_max_s = 0.5\n{self._control}\n"
             f'[control.labels]\nzone = "{zone}"\n'
         )
         instance.arguments = ("--operator", str(instance.folder / "operator.toml"))
--- a/tests/fleet/test_rollout.py
+++ b/tests/fleet/test_rollout.py
@@ -96,6 +96,17 @@
     assert states(fleet)["i01"] == "took" and fleet.rollout.phase is Phase.DONE
 
 
+def test_one_that_dies_of_what_it_took_after_the_end_is_named_after_all():
+    fleet = Fleet(["obeys", "obeys"], Plan(soak_s=0))
+    fleet.start()
+    fleet.settle()
+    assert fleet.rollout.phase is Phase.DONE
+    fleet.cut("i01")
+    fleet.feed(fleet.rollout.connected(fleet.now, "i01", "another", OLD, "", NEW, "ended soon after"))
+    assert fleet.rollout.phase is Phase.INCOMPLETE
+    assert [(m.name, m.detail) for m in fleet.rollout.missing()] == [("i01", "ended soon after")]
+
+
 def test_who_comes_back_while_it_runs_is_sent_it():
     fleet = Fleet(["obeys", "obeys"], Plan(soak_s=0))
     fleet.cut("i01")
