--- a/benchmarks/reconnect.py
+++ b/benchmarks/reconnect.py
@@ -62,7 +62,7 @@
 async def measure(count: int) -> dict[str, object]:
     """The figures for so many instances."""
     async with Managed(Shape(nodes=1, instances=0)) as world:
-        await world.start_agent("--log-level", "warning")
+        await world.start_agent()
         crowd = Crowd()
         try:
             await crowd.start(str(world.state / "instances.sock"), count)
@@ -84,7 +84,7 @@
             await world.kill_agent()
             await asyncio.sleep(2.0)
             start = time.monotonic()
-            await world.start_agent("--log-level", "warning")
+            await world.start_agent()
             pid = world.agent.pid
             await _until_connected(world, count)
             back_s, back_cpu = time.monotonic() - start, cpu_s(pid)
