--- a/covetally/cli/main.py
+++ b/covetally/cli/main.py
@@ -82,6 +82,19 @@
     sys.exit(play(shape, seconds or 29.0, rate, as_json))
 
 
+@main.command("audit-check")
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+def audit_check(file: Path) -> None:
+    """Say whether every line of an agent's audit log FILE follows from the one before; exit status 1 if not."""
+    from covetally.fleet.audit import verify
+
+    wrong = verify(file)
+    for line in wrong:
+        click.echo(line, err=True)
+    click.echo(f"{file}: {len(wrong)} lines are not in order" if wrong else f"{file}: in order")
+    sys.exit(1 if wrong else 0)
+
+
 _SCRIPTS = {
     "bash": 'eval "$(_CINDERSAIL_COMPLETE=bash_source cindersail)"',
     "zsh": 'eval "$(_CINDERSAIL_COMPLETE=zsh_source cindersail)"',
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import tempfile
+import time
 from pathlib import Path
 
 import pytest
@@ -420,6 +421,26 @@
     run(main)
 
 
+def test_a_wall_clock_that_jumps_moves_no_deadline(monkeypatch):
+    """A day ahead, a day back, while a rollout waits for one that is silent: its deadline is its own."""
+
+    async def main(place):
+        agent, plain = place.agent, time.time
+        good, slow = Wire(agent, "i0").dial(), Wire(agent, "i1").dial()
+        slow.silent = True
+        place.change("ann", plan=Plan(canary=0, shares=(1.0,), soak_s=0, instance_s=0.4), limits__max_attempts=2)
+        for jump in (86_400, -86_400):
+            monkeypatch.setattr(time, "time", lambda jump=jump: plain() + jump)
+            await asyncio.sleep(0.05)
+            good.beat()
+            slow.beat()
+            assert agent.rollouts()[0].rollout.members["i1"].state.value == "sent"
+        await place.settled()
+        assert [m.name for m in agent.rollouts()[0].rollout.missing()] == ["i1"]
+
+    run(main)
+
+
 def test_forgetting_is_for_those_who_are_away():
     async def main(place):
         wire = Wire(place.agent, "i0").dial()
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -105,6 +105,8 @@
             code, _, err = await world.command("forget", "a2")
             assert code == 3 and "is connected" in err
             assert audit.verify(world.state / "audit.log") == []
+            code, out, _ = await world.command("audit-check", str(world.state / "audit.log"))
+            assert code == 0 and out.endswith("in order\n")
             await world.end_agent()
             code, _, err = await world.command("list")
             assert code == 4 and "Is `cindersail agent` running?" in err
@@ -416,6 +418,25 @@
     loop.close()
 
 
+def test_of_operators_who_race_over_the_api_one_wins_each_time_and_the_others_are_told_of_it(agent_alone):
+    async def main():
+        for turn in range(25):
+            head = (await api(agent_alone, "GET", "/v1/status"))["head"]
+            bodies = [{"parent": head, "set": {"limits.max_attempts": 1 + (turn * 4 + i) % 99}} for i in range(4)]
+            asked = [api(agent_alone, "POST", "/v1/revisions", body) for body in bodies]
+            got = await asyncio.gather(*asked, return_exceptions=True)
+            won = [x for x in got if isinstance(x, dict)]
+            lost = [x for x in got if isinstance(x, client.Failure)]
+            assert (len(won), len(lost)) == (1, 3)
+            assert all(x.exit_code == client.CONFLICT for x in lost)
+            first = won[0]["revision"]
+            assert all(x.table["revisions"][0]["number"] == first for x in lost)
+            assert all(x.table["changes"][0]["key"] == "limits.max_attempts" for x in lost)
+            assert (await api(agent_alone, "GET", f"/v1/revisions/{first}"))["parent"] == head
+
+    run(main)
+
+
 def test_two_agents_do_not_share_a_folder(agent_alone):
     async def main():
         state = Path(agent_alone.agent_address.removeprefix("unix:")).parent
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from covetally.__main__ import operator_file
 from tests.loopback import WAIT_S, Server, answer, fine, read_message, request, traces, until
 from tests.support import MS
 
@@ -239,6 +240,14 @@
     assert len(done.stderr.splitlines()) == 1 and said in done.stderr
 
 
+def test_the_operators_file_may_be_named_by_the_environment_and_the_argument_wins(monkeypatch):
+    monkeypatch.setenv("COVETALLY_OPERATOR", "/from/env")
+    assert operator_file([]) == "/from/env"
+    assert operator_file(["--operator", "/from/argument"]) == "/from/argument"
+    monkeypatch.delenv("COVETALLY_OPERATOR")
+    assert operator_file([]) is None
+
+
 def test_without_an_operators_file_nothing_of_it_is_imported(tmp_path):
     path = tmp_path / "config.json"
     path.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}))
