Refuse limits that do not fit the descriptors; keep the agent of the start on SIGHUP

client_connections and server_connections could be set past the descriptors, where neither side is served; the two together now have to fit into 95 % of them. control.agent and its like are documented as taken up at a restart, but the next dial used what SIGHUP had read: they stay now, and the log says so.

--- a/covetally/process.py
+++ b/covetally/process.py
@@ -94,7 +94,7 @@
         from covetally.operator import check, tune
 
         try:
-            return replace(platform, **tune.changes(platform.settings, own | managed))
+            return replace(platform, **tune.changes(platform, own | managed))
         except check.OperatorError as error:
             raise ConfigError(str(error)) from None
 
@@ -159,7 +159,7 @@
     def reload(self) -> None:
         """Take up what may change while requests are under way; a bad configuration changes nothing."""
         try:
-            platform, own = load(self._env), self._read_operator()
+            platform, own = load(self._env), self._unmoved(self._read_operator())
             if platform.settings != self.platform.settings:
                 log.warning("reload: settings has changed, which takes a restart")
                 platform = replace(platform, settings=self.platform.settings)
@@ -171,6 +171,23 @@
         self._adopt(config)
         log.info("%s has taken up its configuration anew", self.config.name)
 
+    def _unmoved(self, own: Values) -> Values:
+        """The operators' file as it was read again, with how this sidecar is managed left as it was."""
+        for name in {*self.own, *own}:
+            if name.startswith("control.") and own.get(name) != self.own.get(name) and self._fixed(name):
+                log.warning("reload: %s has changed, which takes a restart", name)
+                own = {k: v for k, v in own.items() if k != name}
+                if name in self.own:
+                    own[name] = self.own[name]
+        return own
+
+    @staticmethod
+    def _fixed(name: str) -> bool:
+        from covetally.operator import schema
+
+        key = schema.find(name)
+        return key is not None and not key.live
+
     def manage(self, managed: Values) -> None:
         """Take up what the agent has set, in place of what it had; ConfigError, and nothing changed, if this
         sidecar cannot use it."""
@@ -182,7 +199,7 @@
         """OperatorError if this sidecar could not use what the agent wants; nothing changes."""
         from covetally.operator import tune
 
-        tune.changes(self.platform.settings, self.own | managed)
+        tune.changes(self.platform, self.own | managed)
 
     def _adopt(self, config: Config) -> None:
         for name in FIXED:
--- a/tests/control/test_manager.py
+++ b/tests/control/test_manager.py
@@ -304,5 +304,14 @@
                 await asyncio.sleep(0.02)
             agent.send(writer, t="ask", id=1, what="snapshot")
             assert (await agent.read(reader, "answer"))["data"]["limits"]["max_attempts"] == 2
+            path = world.instances["a0"].folder / "operator.toml"
+            path.write_text(path.read_text().replace("agent.sock", "other.sock") + 'name = "b"\n')
+            world.instances["a0"].process.send_signal(signal.SIGHUP)
+            while "control.agent has changed, which takes a restart" not in world.instances["a0"].log:
+                await asyncio.sleep(0.02)
+            assert "control.name has changed" in world.instances["a0"].log
+            writer.transport.abort()
+            _, _, hello = await agent.link()
+            assert hello["name"] == "a0", "it dials the agent that it had"
 
     asyncio.run(main())
--- a/tests/operator/test_check.py
+++ b/tests/operator/test_check.py
@@ -4,6 +4,7 @@
 
 import json
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from click.testing import CliRunner
@@ -18,6 +19,9 @@
 ROOT = Path(__file__).parent.parent.parent
 
 
+PLATFORM = SimpleNamespace(settings=settings(), sockets=256, client_connections=128, server_connections=102)
+
+
 def problems(flat) -> list[check.Problem]:
     with pytest.raises(OperatorError) as caught:
         checked(flat)
@@ -115,7 +119,7 @@
 
 def test_every_key_changes_the_configuration_it_names():
     changed = tune.changes(
-        settings(),
+        PLATFORM,
         {
             "limits.client_connections": 9, "limits.server_connections": 8, "limits.body_memory_kib": 64,
             "log.level": "debug", "discovery.address": "127.0.0.1:5", "process.listen": "127.0.0.1:6",
@@ -129,6 +133,23 @@
     }  # fmt: skip
 
 
+@pytest.mark.parametrize(
+    "values, key",
+    [
+        ({"limits.client_connections": 142}, "limits.client_connections"),
+        ({"limits.server_connections": 116}, "limits.server_connections"),
+        ({"limits.client_connections": 200, "limits.server_connections": 50}, "limits.client_connections"),
+    ],
+)
+def test_connections_that_do_not_fit_into_the_descriptors_are_refused(values, key):
+    with pytest.raises(OperatorError) as caught:
+        tune.changes(PLATFORM, values)
+    (found,) = caught.value.problems
+    assert found.key == key and "at most 243 together, of 256" in found.remedy
+    fits = {"limits.client_connections": 141, "limits.server_connections": 102}
+    assert tune.changes(PLATFORM, fits)["client_connections"] == 141
+
+
 def test_the_command_says_what_is_wrong_and_ends_with_2(tmp_path):
     path = tmp_path / "f.toml"
     path.write_text("[log]\nlevl = 'info'\n[limits]\nmax_attempts = 'x'\n")
