--- a/covetally/cli/fleet.py
+++ b/covetally/cli/fleet.py
@@ -21,6 +21,7 @@
 
 from covetally.cli import client
 from covetally.cli.client import ALL_TOOK, BAD_INPUT, SOME_DID_NOT, Failure, Target
+from covetally.fleet.document import difference, from_table
 from covetally.operator import check, schema
 
 console = Console(highlight=False, soft_wrap=True)
@@ -197,23 +198,13 @@
         old = None
     after = client.call(where, "GET", f"/v1/revisions/{new}")
     before = client.call(where, "GET", f"/v1/revisions/{after['parent'] if old is None else old}")
-    changes = _difference(before["layers"], after["layers"])
+    changes = difference(from_table(before["layers"]), from_table(after["layers"]))
     if as_json:
         show_json({"old": before["number"], "new": after["number"], "changes": changes})
         return
     _show_changes(changes)
 
 
-def _difference(old: list[dict[str, Any]], new: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    before = {(x["selector"], key): value for x in old for key, value in x["values"].items()}
-    after = {(x["selector"], key): value for x in new for key, value in x["values"].items()}
-    return [
-        {"selector": selector, "key": key, "old": before.get((selector, key)), "new": after.get((selector, key))}
-        for selector, key in sorted({*before, *after})
-        if before.get((selector, key)) != after.get((selector, key))
-    ]
-
-
 def _show_changes(changes: list[dict[str, Any]]) -> None:
     for change in changes:
         for sign, value in (("-", change["old"]), ("+", change["new"])):
--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -30,7 +30,6 @@
 SILENT_BEATS = 3  # an agent that has not answered so many heartbeats, and SILENT_S, is not there
 SILENT_S = 2.0
 MAX_UNSENT = 4 * 1024 * 1024  # an agent that does not read is not there either
-BYE_S = 0.3
 
 
 class Manager:
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -563,7 +563,7 @@
                 running.queued = True
             else:
                 self._begin(running)
-            self.flush_in_transaction()
+            self._save()  # with its revision, or not at all
         done = {"revision": number, "rollout": running.rollout.number, "changes": changes, "reason": reason}
         self._audit.write(who, "change", **done)
         self.flush()
@@ -820,7 +820,7 @@
             self._store.add_revision(revision)
             row.undo_revision, row.ended = number, False
             self._do(running, r.undo(self._now(), text, befores))
-            self.flush_in_transaction()
+            self._save()  # with its revision, or not at all
 
     def _undo_by_itself(self, running: Running, reason: str) -> None:
         try:
@@ -829,10 +829,6 @@
         except Refused as error:
             running.rollout.reason = f"{reason}; not undone: {error}"
 
-    def flush_in_transaction(self) -> None:
-        """Write what belongs with a revision in the transaction that writes the revision."""
-        self._save()
-
     async def _ask(self, instance: Instance, message: Message, within_s: float) -> Message:
         if instance.link is None:
             raise Refused("unreachable", f"{instance.name} is not connected")
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -35,8 +35,6 @@
 MAX_WATCHERS = 100
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-AGENT: web.AppKey[Agent] = web.AppKey("agent", Agent)
-AUDIT: web.AppKey[Audit] = web.AppKey("audit", Audit)
 
 
 def failure(error: Refused) -> web.Response:
--- a/covetally/fleet/rollout.py
+++ b/covetally/fleet/rollout.py
@@ -48,7 +48,6 @@
 
 
 OUT = frozenset({State.SENT, State.RESTARTING})
-HAS_IT = frozenset({State.TOOK})
 UNDO_TO = frozenset({State.TOOK, State.SENT, State.NEEDS_RESTART, State.RESTARTING, State.UNREACHABLE})
 MAX_TRIES = 2  # sends that a member may answer with a lost link before it counts as having refused
 
--- a/covetally/rig/site.py
+++ b/covetally/rig/site.py
@@ -29,11 +29,6 @@
     return {name: mean * scale for name, *_, mean in _CLASSES}
 
 
-def mean_work_ms() -> float:
-    """The mean over the mix of classes, in ms."""
-    return sum(share * mean for _, share, *_, mean in _CLASSES)
-
-
 def rules() -> dict[str, ClassRule]:
     """What the checker has to know of each class."""
     return {
--- a/tests/rig/test_standins.py
+++ b/tests/rig/test_standins.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 from contextlib import asynccontextmanager
 
 import pytest
@@ -351,3 +352,21 @@
             assert any(ask.ended == "killed" for ask in world.account.asks.values())
 
     asyncio.run(main())
+
+
+def test_discovery_moves_and_an_instance_that_is_told_of_it_by_sighup_follows():
+    async def main():
+        async with World(Shape(nodes=2, instances=1)) as world:
+            await world.start_instances()
+            port = await world.move_discovery("a0")
+            instance = world.instances["a0"]
+            instance.config["discovery"] = f"127.0.0.1:{port}"
+            world.command_line("a0")  # writes the configuration
+            instance.process.send_signal(signal.SIGHUP)
+            before = len(world.account.told["a0", "n1"])
+            world.lifecycle("n1", "leaving")
+            while [entry[1] for entry in world.account.told["a0", "n1"][before:]][-1:] != ["leaving"]:
+                await asyncio.sleep(0.02)
+            assert instance.running
+
+    run(main)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -160,6 +160,25 @@
     asyncio.run(main())
 
 
+def line_of_a_start_that_fails(folder: Path, changes: dict[str, Any], *arguments: str) -> str:
+    """Start a sidecar that cannot be; it has to end with status 2 and the one line that is returned."""
+    path = folder / "config.json"
+    config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS} | changes
+    path.write_text(json.dumps(config))
+    done = subprocess.run(
+        [sys.executable, "-m", "covetally", *arguments],
+        cwd=ROOT,
+        env=os.environ | {"EDGE_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=WAIT_S,
+        check=False,
+    )
+    assert done.returncode == 2
+    (line,) = done.stderr.splitlines()
+    return line
+
+
 @pytest.mark.parametrize(
     "key, changes",
     [
@@ -172,21 +191,8 @@
     ],
 )
 def test_a_bad_configuration_at_the_start_is_one_line_that_names_the_key(tmp_path, key, changes):
-    path = tmp_path / "config.json"
-    config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS} | changes
-    path.write_text(json.dumps(config))
-    done = subprocess.run(
-        [sys.executable, "-m", "covetally"],
-        cwd=ROOT,
-        env=os.environ | {"EDGE_CONFIG": str(path)},
-        capture_output=True,
-        text=True,
-        timeout=WAIT_S,
-        check=False,
-    )
-    assert done.returncode == 2
-    assert len(done.stderr.splitlines()) == 1
-    assert key in done.stderr
+    line = line_of_a_start_that_fails(tmp_path, changes)
+    assert key in line
 
 
 def test_the_operators_file_holds_over_the_platform_s_and_is_taken_up_on_sighup(tmp_path):
@@ -225,19 +231,7 @@
     ],
 )
 def test_a_start_that_cannot_be_is_one_line(tmp_path, arguments, said):
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}))
-    done = subprocess.run(
-        [sys.executable, "-m", "covetally", *arguments],
-        cwd=ROOT,
-        env=os.environ | {"EDGE_CONFIG": str(path)},
-        capture_output=True,
-        text=True,
-        timeout=WAIT_S,
-        check=False,
-    )
-    assert done.returncode == 2
-    assert len(done.stderr.splitlines()) == 1 and said in done.stderr
+    assert said in line_of_a_start_that_fails(tmp_path, {}, *arguments)
 
 
 def test_the_operators_file_may_be_named_by_the_environment_and_the_argument_wins(monkeypatch):
