Let a share in under overload and refuse the rest at a glance, unread

Need: at twice its capacity a sidecar refused 98 % for good: all that waited 19 ms were refused until one was read promptly, which beside busy neighbours never came. Now a share of those that waited is let in; it shrinks while all have waited over a quarter of the aim and grows when they have not. What is plainly one whole GET is refused before it is parsed.

--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -46,6 +46,7 @@
 SHUN = 0.25  # failure average of a class on one server past which that server may be shunned for it
 TASTE = 1 / 32  # share of such calls that a shunned server gets all the same, to show that it is well again
 CUT = 0.6  # failure average past which a zone counts as cut off: three failed connections in a row
+KEPT_DOWN, KEPT_UP, KEPT_LEAST = 0.85, 0.05, 0.02  # how the share let in under overload changes at each turn
 TRIAL_RATIO = 0.1  # trials of servers at k = 0 earned by one request
 
 
@@ -167,7 +168,9 @@
         self._wait_at = now
         self._own = 0.0  # this process's own delay of late, between an attempt's submission and its outcome
         self._own_at = now
-        self._late_from = self._late_at = 0  # first and last request read late since one was read in time
+        self._kept = 1.0  # share of the requests that waited which are let in
+        self._glanced_at = self._turn_at = 0  # when a request was last looked at, and the share is next
+        self._late_from = self._least_age = 0  # since when all wait too long, and how long at least in this turn
         self._size = float(sum(self._unit)) / len(settings.classes)  # mean size of late
         self._tokens = 1.0 / RETRY_RATIO
         self._trials = 1.0
@@ -259,32 +262,49 @@
         if now >= call.aim_at and not cls.late_worth:
             # Exception "late retry": its first try's aim has passed; work for it would earn nothing.
             self._end(now, call, self._set.limits.max_retry_after_ns)
-        elif self._swamped(now, event.age_ns):
-            self._end(now, call, self._set.limits.max_retry_after_ns)
+        elif not event.let_in and (hold_off := self.glance(now, event.age_ns, False)):
+            self._end(now, call, hold_off)
         elif self._held:
             self._hold(now, call)  # arrival order: nobody overtakes a waiting call
             self._pump(now)
         else:
             self._dispatch(now, call)
 
-    def _swamped(self, now: int, age: int) -> bool:
-        """Exception "overload": more has come than this process can work through, and this call has waited.
-
-        Guards against a queue of requests that wait to be read, where each is served too late, its client
-        asks again, and all work is wasted. A short burst is served whole; once requests have come late, and
-        none promptly, for twice the shortest aim, those that waited are refused at once, which costs a
-        fraction of serving them, until one is read promptly again. It ought to catch whatever makes this
-        process slower than what comes: a smaller share of a core, dearer requests, crowds of connections. It
-        could do harm where the ages are wrong, or where long regular pauses are no sign of a lack of CPU.
+    @property
+    def shedding(self) -> bool:
+        """Whether requests that waited may be refused at a glance; see `glance`."""
+        return self._kept < 1.0
+
+    def glance(self, now: int, age: int, retry: bool) -> int:
+        """Whether a request that has waited here for `age` is let in: 0 if so, else after how many ns its client
+        may come back. It need not have been read: nothing else of it counts.
+
+        Exception "overload": more has come than this process can work through, and it waits in a queue. Guards
+        against a queue of requests that wait to be read, where each is served too late, its client asks again,
+        and all work is wasted. A short burst is served whole; once all have waited over a quarter of the shortest
+        aim for twice that aim, of those that waited only a share is kept, which shrinks while that goes on and
+        grows again when it does not. The others are refused at once, which costs a fraction of serving them.
+        Whoever asks again is refused with them: the time told before was longer than the aim. It ought to catch
+        whatever makes this process slower than what comes: a smaller share of a core, dearer requests, crowds of
+        connections. It could do harm where the ages are wrong.
         """
-        if age < self._pace:
-            self._late_from = 0
-            return False
         patience = self._settle // 2
-        if not self._late_from or now - self._late_at > patience:  # a silence tells of no queue
-            self._late_from = now
-        self._late_at = now
-        return now - self._late_from > patience
+        if now - self._glanced_at > patience:  # a silence tells of no queue
+            self._kept, self._late_from, self._least_age = 1.0, 0, age
+        self._glanced_at = now
+        self._least_age = min(self._least_age, age)
+        if now >= self._turn_at:
+            if self._least_age <= self._settle // 16:
+                self._late_from = 0
+                self._kept = min(1.0, self._kept + KEPT_UP)
+            elif not self._late_from:
+                self._late_from = now
+            elif now - self._late_from > patience or self._kept < 1.0:
+                self._kept = max(KEPT_LEAST, self._kept * KEPT_DOWN)
+            self._turn_at, self._least_age = now + self._pace, age
+        if self._kept >= 1.0 or age < self._pace or (not retry and self._random() < self._kept):
+            return 0
+        return max(1, self._set.limits.max_retry_after_ns)
 
     def _first_try(self, now: int, event: Accept, cls: RequestClass) -> int:
         """When the client first asked: its retries bear new ids, but look like a call that ended unserved."""
--- a/covetally/control/gauges.py
+++ b/covetally/control/gauges.py
@@ -93,6 +93,7 @@
         process = self._process
         return {
             "counts": self.counts(),
+            "shed": process.frontend.shed,
             "open": process.sidecar.open,
             "lag_ms": round(worst, 1),
             "state": "draining" if process.frontend.draining else "serving",
--- a/covetally/interface.py
+++ b/covetally/interface.py
@@ -245,7 +245,8 @@
 
 class Accept(NamedTuple):
     """A client's request; exactly one final answer is owed. Its last byte came to this machine `age_ns` ago:
-    so long it had to wait for this process. `ttl_ns` counts from now."""
+    so long it had to wait for this process. `ttl_ns` counts from now. `let_in` tells that the module was asked
+    about that wait already."""
 
     tid: str
     cls: int
@@ -255,6 +256,7 @@
     key: str = ""
     retry: bool = False
     age_ns: int = 0
+    let_in: bool = False
 
 
 class Response(NamedTuple):
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -61,6 +61,8 @@
         self.status = status
 
 
+PLAIN = re.compile(rb"get /(?!_health)[!-~]* http/1\.1\r\n(?:[!#$%&'*+.^_`|~0-9a-z-]+:[ -~]*\r\n)+\r\n")
+NOT_PLAIN = (b"\r\ncontent-length", b"\r\ntransfer-encoding", b"\r\nexpect", b"\r\nconnection", b"\r\nupgrade")
 _FRAMING = (b"content-length", b"transfer-encoding")
 _TRACE_ID = re.compile(rb"[!-~]{1,128}")
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,18})?")
@@ -179,6 +181,7 @@
         self._listener: socket.socket
         self._accepting = False
         self._drained = asyncio.Event()
+        self.shed = 0  # requests refused at a glance, unread
 
     def retune(self, settings: Settings, limit: int, body_memory: int) -> None:
         """Keep to these from here on. Connections beyond a lower limit go as they fall idle, none before."""
@@ -402,7 +405,8 @@
 
     __slots__ = (
         "_arrival", "_body", "_dropped", "_due", "_fresh", "_frontend", "_head", "_headers", "_hold", "_last",
-        "_loop", "_phase", "_tid", "_timer", "_timer_at", "_trace_id", "in_message", "request", "since", "stream",
+        "_let_in", "_loop", "_phase", "_tid", "_timer", "_timer_at", "_trace_id", "in_message", "request",
+        "since", "stream",
     )  # fmt: skip
 
     request: Request
@@ -416,6 +420,7 @@
         self._head: RequestHead | None = None
         self._body: bytes | bytearray = b""
         self._last = False  # the answer being written is the last one here
+        self._let_in = False  # the module has been asked about this request's wait
         self._dropped = 0
         self._fresh = True  # no request has come whole yet
         self.in_message = False  # part of a request has come
@@ -482,6 +487,8 @@
             self.close()  # as in `_let_in`: nobody is there to see an answer to what has come
         elif phase is READING:
             if not self.in_message and not stream.eof:
+                if self._frontend.sidecar.shedding and self._turned_away():
+                    return
                 self.in_message = True
                 if not self._fresh:
                     self.since = self._loop.time()
@@ -492,6 +499,29 @@
         elif stream.eof:
             self.close()
 
+    def _turned_away(self) -> bool:
+        """Whether a request was refused at a glance, unread: under overload a refusal must cost next to nothing.
+
+        Only what is plainly one whole request without a body, and lets the connection be, may go this way: all
+        else is read as ever."""
+        data = self.stream.peek()
+        low = data.lower()
+        if not PLAIN.fullmatch(low) or any(word in low for word in NOT_PLAIN):
+            return False
+        age_ns = time.monotonic_ns() - self.stream.received_at
+        answer = self._frontend.sidecar.glance(age_ns, b"\r\nx-second-try: 1\r\n" in low)
+        if answer is None or self._frontend.draining:
+            self._let_in = True
+            return False
+        self.stream.drop()
+        self._fresh = False
+        self._frontend.shed += 1
+        self._frontend.busy(self)
+        self._phase, self._last = WRITING, False
+        headers = [*answer.headers, (b"content-length", b"0")]
+        self._send(encode(b"HTTP/1.1 %d " % answer.status, headers, b""))
+        return True
+
     def _room(self) -> None:
         if self._phase is WRITING:
             self._answered()
@@ -555,7 +585,8 @@
         self.request = Request(head.method, head.target, self._headers, bytes(body))
         self._tid = ""
         age_ns = time.monotonic_ns() - stream.received_at  # its time counts from its last byte
-        self._tid = frontend.sidecar.take(self, arrival, age_ns)
+        let_in, self._let_in = self._let_in, False
+        self._tid = frontend.sidecar.take(self, arrival, age_ns, let_in)
 
     # --- the answer -----------------------------------------------------------------------------
 
@@ -586,7 +617,7 @@
     def _answered(self) -> None:
         """The answer is the kernel's."""
         stream = self.stream
-        if not self._last and stream.recycle():
+        if not self._last and (stream.recycle() if self.in_message else not stream.leftover):
             self.in_message = False
             self._phase = READING
             self._wait_for(IDLE_S)
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -105,14 +105,24 @@
 
     # --- events ---------------------------------------------------------------------------------
 
-    def take(self, exchange: Exchange, event: Accept, age_ns: int = 0) -> str:
+    @property
+    def shedding(self) -> bool:
+        """Whether it is worth to ask `glance`."""
+        return self._balancer.shedding
+
+    def glance(self, age_ns: int, retry: bool) -> Answer | None:
+        """The refusal for a request that has waited so long and need not be read, None if it is let in."""
+        hold_off_ns = self._balancer.glance(self._clock.now(), age_ns, retry)
+        return _refusal(hold_off_ns) if hold_off_ns else None
+
+    def take(self, exchange: Exchange, event: Accept, age_ns: int = 0, let_in: bool = False) -> str:
         """A client's request is whole, and has been for so long: an answer is owed from now on. Returns the id
         that it is known by here."""
         tid = f"{self._taken:016x}"
         self._taken += 1
         ttl_ns = max(event.ttl_ns - age_ns, 1)
         event = Accept(
-            tid, event.cls, ttl_ns, event.cost_ns, event.tenant, event.key, event.retry, age_ns
+            tid, event.cls, ttl_ns, event.cost_ns, event.tenant, event.key, event.retry, age_ns, let_in
         )  # fmt: skip
         deadline_ns = self._clock.now() + event.ttl_ns
         overdue_at = self._clock.loop_time(deadline_ns + OVERDUE_NS)
@@ -165,8 +175,7 @@
             case Submit():
                 self._submit(action)
             case Refuse(tid, hold_off_ns):
-                wait = [(b"retry-after", b"%.3f" % (hold_off_ns / 1e9))] if hold_off_ns > 0 else []
-                self._finish(tid, Answer(503, wait))
+                self._finish(tid, _refusal(hold_off_ns))
             case Fail(tid):
                 self._finish(tid, Answer(502, []))
             case Retract(tid, attempt):
@@ -233,3 +242,7 @@
     def _forget(self, tid: str, call: _Call) -> None:
         if call.over and not call.attempts:
             self._calls.pop(tid, None)
+
+
+def _refusal(hold_off_ns: int) -> Answer:
+    return Answer(503, [(b"retry-after", b"%.3f" % (hold_off_ns / 1e9))] if hold_off_ns > 0 else [])
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -169,6 +169,10 @@
                 self._loop.add_reader(self._fd, self._readable)
         return data
 
+    def peek(self) -> bytes:
+        """What has come and was not read."""
+        return self._inbox
+
     def drop(self) -> int:
         """Forget what has come and was not read; how many bytes that were."""
         return len(self._take())
