--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -47,6 +47,8 @@
 TASTE = 1 / 32  # share of such calls that a shunned server gets all the same, to show that it is well again
 CUT = 0.6  # failure average past which a zone counts as cut off: three failed connections in a row
 KEPT_DOWN, KEPT_UP, KEPT_LEAST = 0.85, 0.05, 0.02  # how the share let in under overload changes at each turn
+MOST_TOKENS = 2.0 / RETRY_RATIO
+MOST_TRIALS = 2.0
 TRIAL_RATIO = 0.1  # trials of servers at k = 0 earned by one request
 
 
@@ -323,8 +325,10 @@
         self._heard += 1.0 - self._heard * min(1.0, (now - self._heard_at) / (4 * self._horizon))
         self._heard_at = now
         self._many = self._heard > PLENTY * len(self._up)
-        self._tokens = min(self._tokens + RETRY_RATIO, 2.0 / RETRY_RATIO)
-        self._trials = min(self._trials + TRIAL_RATIO, 2.0)
+        if self._tokens < MOST_TOKENS:
+            self._tokens = min(self._tokens + RETRY_RATIO, MOST_TOKENS)
+        if self._trials < MOST_TRIALS:
+            self._trials = min(self._trials + TRIAL_RATIO, MOST_TRIALS)
         if key:
             self._keys[key] = self._keys.get(key, 0) + 1
             self._keys_total += 1
@@ -356,7 +360,8 @@
             self._tell(server)
         self._judge(now, attempt, event.how)
         self._refresh(server)
-        self._forget(server)
+        if server.gone:
+            self._forget(server)
         call = self._calls.get(event.tid)
         if call is not None:
             call.out -= 1
@@ -367,7 +372,8 @@
                     call.ran_on, call.ran_at = server, attempt.sent
                 if not call.out and not call.begun:
                     self._again(now, call, event.how)
-        self._pump(now)
+        if self._held:
+            self._pump(now)
 
     def _drop(self, tid: str) -> None:
         call = self._calls.pop(tid, None)
@@ -464,7 +470,7 @@
     def _learn(self, now: int, attempt: Attempt, event: Response) -> None:
         server, load, lag = attempt.server, event.load, event.lag_ns
         known = server.seen > 0
-        wait = self._report_wait(load)
+        wait = self._report_wait(load) if load else None
         if wait is not None:
             server.wait = wait
             self._note_wait(now, wait)
@@ -716,7 +722,7 @@
                 if self._may_probe(now, call, server):
                     return server, True, 0.0
                 continue
-            if self._shuns(server, call):
+            if server.fails and self._shuns(server, call):
                 continue
             if server.slot < 0 or (server.started > 0 and self._random() > self._ramp(server, now)):
                 continue
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -529,27 +529,21 @@
     # --- a request ------------------------------------------------------------------------------
 
     def _read(self) -> None:
-        stream = self.stream
         try:
-            while (part := stream.next_part()) is not None:
-                kind = type(part)
-                if kind is RequestHead:
-                    self._on_head(part)
-                elif kind is bytes:
-                    if len(self._body) + len(part) > MAX_BODY:
-                        raise _Rejected(413, "body too long")
-                    self._hold.grow(len(part))
-                    if not self._body:
-                        self._body = part
+            while parts := self.stream.parts():
+                while parts:
+                    part = parts.popleft()
+                    kind = type(part)
+                    if kind is RequestHead:
+                        self._on_head(part)
+                    elif kind is bytes:
+                        self._on_body(part)
+                    elif part is End.MESSAGE:
+                        self._on_whole()
+                        return
                     else:
-                        self._body = bytearray(self._body) if type(self._body) is bytes else self._body
-                        self._body += part
-                elif part is End.MESSAGE:
-                    self._on_whole()
-                    return
-                else:
-                    self.close()
-                    return
+                        self.close()
+                        return
         except (Malformed, _Rejected) as error:
             self._reject(error.status, str(error))
         except Exhausted:
@@ -557,6 +551,16 @@
         except Broken:
             self.close()
 
+    def _on_body(self, part: bytes) -> None:
+        if len(self._body) + len(part) > MAX_BODY:
+            raise _Rejected(413, "body too long")
+        self._hold.grow(len(part))
+        if not self._body:
+            self._body = part
+        else:
+            self._body = bytearray(self._body) if type(self._body) is bytes else self._body
+            self._body += part
+
     def _on_head(self, head: RequestHead) -> None:
         self._head = head
         self._headers, self._arrival, self._trace_id = self._frontend.heads.read(head)
--- a/covetally/net/message.py
+++ b/covetally/net/message.py
@@ -4,7 +4,6 @@
 
 import enum
 from collections import deque
-from collections.abc import Iterable
 from ipaddress import IPv4Address
 from typing import Any, NamedTuple
 
@@ -66,11 +65,14 @@
     body: bytes = b""
 
 
-def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+def end_to_end(headers: Headers) -> Headers:
     """The headers that are meant for the far end; framing is each connection's own."""
-    headers = list(headers)
-    named = {n.strip().lower() for k, v in headers if k == b"connection" for n in v.split(b",")}
-    return [(k, v) for k, v in headers if k not in HOP_BY_HOP and k not in named]
+    kept = [pair for pair in headers if pair[0] not in HOP_BY_HOP]
+    named = [value for name, value in headers if name == b"connection"] if len(kept) < len(headers) else None
+    if not named:
+        return kept
+    more = {name.strip().lower() for name in b",".join(named).split(b",")}
+    return [pair for pair in kept if pair[0] not in more]
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -86,7 +88,7 @@
 
     Headers must come from a parsed message or be this program's own: nothing is looked at here.
     """
-    lines = [b"%s: %s" % header for header in headers]
+    lines = [name + b": " + value for name, value in headers]
     return b"\r\n".join([first, *lines, b"", body])
 
 
@@ -105,7 +107,7 @@
         self.error: Malformed | None = None  # to be told after the parts
         self.surplus = False  # more came behind the message
         self._parser: Any = role(self)
-        self._role = role
+        self._requests = role is httptools.HttpRequestParser
         self._since_part = 0  # bytes that made no part yet
         self.begin()
 
@@ -129,7 +131,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:  # it is not taken up
-            if self._role is httptools.HttpResponseParser:
+            if not self._requests:
                 self.error = Malformed("an answer in another protocol")
             self.persistent = False
             self.surplus = upgrade.args[0] < len(data)
@@ -179,7 +181,7 @@
             if name == b"connection" and b"close" in value.lower():
                 self.persistent = False
         self.persistent = self.persistent and version == "1.1"
-        if self._role is httptools.HttpRequestParser:
+        if self._requests:
             self.parts.append(RequestHead(self._parser.get_method(), self._target, headers))
         else:
             status = self._parser.get_status_code()
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -124,11 +124,11 @@
         event = Accept(
             tid, event.cls, ttl_ns, event.cost_ns, event.tenant, event.key, event.retry, age_ns, let_in
         )  # fmt: skip
-        deadline_ns = self._clock.now() + event.ttl_ns
-        overdue_at = self._clock.loop_time(deadline_ns + OVERDUE_NS)
+        now = self._clock.now()
+        overdue_at = self._clock.loop_time(now + ttl_ns + OVERDUE_NS)
         overdue = self.wheel.call_at(overdue_at, partial(self._overdue, tid))
-        self._calls[tid] = _Call(exchange, event.cls, deadline_ns, overdue)
-        self._handle(event)
+        self._calls[tid] = _Call(exchange, event.cls, now + ttl_ns, overdue)
+        self._handle(event, now)
         return tid
 
     def hang_up(self, tid: str) -> None:
@@ -159,21 +159,23 @@
         self.hang_up(tid)
         call.exchange.finish(Answer(502, []))
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, event: Event, now: int = 0) -> None:
+        now = now or self._clock.now()
         try:
-            actions = self._balancer.handle(self._clock.now(), event)
+            actions = self._balancer.handle(now, event)
         except Exception:  # a bug in the module costs the request at hand, never the process
             log.exception("the module failed on %s", type(event).__name__)
             actions = [Fail(event.tid)] if isinstance(event, Accept | Response) else []
         for action in actions:
-            self._carry_out(action)
+            if type(action) is Submit:
+                self._submit(action, now)
+            else:
+                self._carry_out(action)
 
     # --- actions --------------------------------------------------------------------------------
 
     def _carry_out(self, action: Action) -> None:
         match action:
-            case Submit():
-                self._submit(action)
             case Refuse(tid, hold_off_ns):
                 self._finish(tid, _refusal(hold_off_ns))
             case Fail(tid):
@@ -189,12 +191,12 @@
             case Subscribe():
                 self._subscribe()
 
-    def _submit(self, action: Submit) -> None:
+    def _submit(self, action: Submit, now: int) -> None:
         call = self._calls.get(action.tid)
         if call is None:
             log.error("the module submitted %s, which is not open", action.tid)
             return
-        number, now = call.sent, self._clock.now()
+        number = call.sent
         call.sent += 1
         abandon_ns = min(action.abandon_ns, call.deadline_ns)
         if call.over or abandon_ns <= now:
@@ -215,11 +217,12 @@
             call.exchange.finish(outcome.answer)
         if self.on_outcome is not None:
             self.on_outcome(action.server, outcome.how)
-        passed_ns = self._clock.now() - sent_ns
+        now = self._clock.now()
+        passed_ns = now - sent_ns
         lag_ns = outcome.lag_ns or passed_ns
         own_ns = max(0, passed_ns - lag_ns)
         event = Response(tid, outcome.how, lag_ns, action.server, number, call.over, outcome.load, own_ns)
-        self._handle(event)
+        self._handle(event, now)
         self._forget(tid, call)
 
     def _finish(self, tid: str, answer: Answer) -> None:
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -12,6 +12,7 @@
 import struct
 import sys
 import time
+from collections import deque
 from collections.abc import Callable
 
 from covetally.net.message import Broken, Event, Reader, Role
@@ -48,7 +49,7 @@
     """A connected socket, which it owns from `__init__` on, until `abort`.
 
     `on_news` is called after bytes came, or the end; `on_room` once all that `send` could not hand over at first
-    is the kernel's. Neither is called from within `send`, `next_part` or `abort`.
+    is the kernel's. Neither is called from within `send`, `parts` or `abort`.
     """
 
     __slots__ = (
@@ -91,8 +92,9 @@
                 up, lain_ns = tcp_info(self.sock)
                 self.closing = not up
                 self.received_at = time.monotonic_ns() - lain_ns
-                if len(self._inbox) >= READ_AHEAD:
-                    self._pause()
+                if len(self._inbox) >= READ_AHEAD and not self._paused:
+                    self._paused = True
+                    self._loop.remove_reader(self._fd)
             else:
                 self.eof = True
                 self._loop.remove_reader(self._fd)  # it would be readable for ever
@@ -120,11 +122,6 @@
                 self.abort()
                 told()
 
-    def _pause(self) -> None:
-        if not self._paused:
-            self._paused = True
-            self._loop.remove_reader(self._fd)
-
     # --- reading --------------------------------------------------------------------------------
 
     @property
@@ -144,30 +141,31 @@
             pass
         return True
 
-    def next_part(self) -> Event | None:
-        """The next part of the peer's message, None while it is not here; Malformed if it is none, Broken if the
-        connection was lost."""
+    def parts(self) -> deque[Event]:
+        """The parts of the peer's message that are here, to be taken from the left; empty while there are none.
+        Malformed if what came is no message, Broken if the connection was lost, both after the last part."""
         reader = self._reader
         parts = reader.parts
-        while not parts:
+        if not parts:
             if reader.error is not None:
                 raise reader.error
-            if not self._inbox:
-                if self.eof:
-                    return reader.end()
-                if self.lost:
-                    raise Broken("connection lost")
-                return None
-            reader.feed(self._take())
-        return parts.popleft()
-
-    def _take(self) -> bytes:
-        data, self._inbox = self._inbox, b""
-        if self._paused:
-            self._paused = False
-            if not (self.eof or self.lost):
-                self._loop.add_reader(self._fd, self._readable)
-        return data
+            if self._inbox:
+                data, self._inbox = self._inbox, b""
+                if self._paused:
+                    self._go_on()
+                reader.feed(data)
+                if not parts and reader.error is not None:
+                    raise reader.error
+            elif self.eof:
+                parts.append(reader.end())
+            elif self.lost:
+                raise Broken("connection lost")
+        return parts
+
+    def _go_on(self) -> None:
+        self._paused = False
+        if not (self.eof or self.lost):
+            self._loop.add_reader(self._fd, self._readable)
 
     def peek(self) -> bytes:
         """What has come and was not read."""
@@ -175,7 +173,10 @@
 
     def drop(self) -> int:
         """Forget what has come and was not read; how many bytes that were."""
-        return len(self._take())
+        data, self._inbox = self._inbox, b""
+        if self._paused:
+            self._go_on()
+        return len(data)
 
     def recycle(self) -> bool:
         """Make ready for the next message; False if this connection must not carry one."""
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -39,7 +39,6 @@
     Headers,
     Malformed,
     ResponseHead,
-    encode,
     end_to_end,
 )
 from covetally.net.stream import Stream, tcp_info, unwanted
@@ -73,11 +72,13 @@
 
     def encode(self, expires_s: float) -> bytes:
         """The bytes for an attempt that will be waited for so long."""
-        headers = [(k, v) for k, v in self.headers if k != b"x-expires-in"]
-        headers.append((b"x-expires-in", b"%.3f" % expires_s))
+        lines = [b"%s %s HTTP/1.1" % (self.method, self.target)]
+        lines += [name + b": " + value for name, value in self.headers if name != b"x-expires-in"]
+        lines.append(b"x-expires-in: %.3f" % expires_s)
         if self.body or self.method != b"GET":
-            headers.append((b"content-length", b"%d" % len(self.body)))
-        return encode(b"%s %s HTTP/1.1" % (self.method, self.target), headers, self.body)
+            lines.append(b"content-length: %d" % len(self.body))
+        lines += (b"", self.body)
+        return b"\r\n".join(lines)
 
 
 class Outcome(NamedTuple):
@@ -508,25 +509,21 @@
         stream = self._stream
         assert stream is not None
         try:
-            while (part := stream.next_part()) is not None:
-                kind = type(part)
-                if kind is bytes:
-                    if not self._body:
-                        self._body = part
-                    else:
-                        self._body = bytearray(self._body) if type(self._body) is bytes else self._body
-                        self._body += part
-                    if len(self._body) > MAX_BODY:
-                        raise Malformed("answer too long")
-                elif kind is ResponseHead:
-                    self._on_head(part)
-                    if self._phase is not RECEIVING:
+            while parts := stream.parts():
+                while parts:
+                    part = parts.popleft()
+                    kind = type(part)
+                    if kind is bytes:
+                        self._on_body(part)
+                    elif kind is ResponseHead:
+                        self._on_head(part)
+                        if self._phase is not RECEIVING:
+                            return
+                    elif part is End.MESSAGE:
+                        self._served()
                         return
-                elif part is End.MESSAGE:
-                    self._served()
-                    return
-                else:
-                    raise Broken("ended before an answer")
+                    else:
+                        raise Broken("ended before an answer")
         except Malformed as error:
             # Guards against any answer that cannot be told to be whole and this request's own. A connection
             # that ends inside an answer is no spoilt answer but a reset.
@@ -535,6 +532,15 @@
         except OSError:
             self._end(How.RESET)
 
+    def _on_body(self, part: bytes) -> None:
+        if not self._body:
+            self._body = part
+        else:
+            self._body = bytearray(self._body) if type(self._body) is bytes else self._body
+            self._body += part
+        if len(self._body) > MAX_BODY:
+            raise Malformed("answer too long")
+
     def _on_head(self, head: ResponseHead) -> None:
         if head.status < 200:
             self._interim += 1
@@ -584,7 +590,8 @@
         stream = self._stream
         assert stream is not None
         try:
-            while (part := stream.next_part()) is not None:
+            while parts := stream.parts():
+                part = parts.popleft()
                 if part is End.MESSAGE:
                     self._give_back()
                 if type(part) is not bytes:
--- a/covetally/net/waiting.py
+++ b/covetally/net/waiting.py
@@ -44,9 +44,9 @@
 
     async def next_event(self) -> Event:
         """The next part of the server's message; Malformed if it is none, Broken if the connection was lost."""
-        while (part := self._stream.next_part()) is None:
+        while not (parts := self._stream.parts()):
             await self._news()
-        return part
+        return parts.popleft()
 
     async def write(self, data: bytes) -> None:
         """Return once the kernel has all of `data`; Broken if it cannot have it."""
