Give a process its configuration, and management the few functions it needs

Need: a supervisor with workers has to be one instance to the agent, and control/ imported Process back, a circle. What is read and read again is Configuration; control/instance.py says what Manager needs of whoever it manages.

--- /dev/null
+++ b/covetally/configuration.py
@@ -0,0 +1,162 @@
+"""What one sidecar runs with, read and read again: three layers, one over the other.
+
+The platform's configuration, the operators' file over it, and over that what an agent has set. The operators'
+part is imported where there is any.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import fields, replace
+from typing import TYPE_CHECKING, Protocol
+
+from covetally.net.config import Config, ConfigError, load
+
+if TYPE_CHECKING:
+    from covetally.membership.settings import Plan
+    from covetally.operator.schema import Values
+
+log = logging.getLogger("covetally")
+
+FIXED = ("name", "listen", "peer_listen", "sockets", "memory", "load_fields", "backlog")  # until a restart
+assert set(FIXED) <= {f.name for f in fields(Config)}
+
+
+class Memory(Protocol):
+    """What an agent has set, as it outlived the process before."""
+
+    def at_start(self) -> Values:
+        """What to start with."""
+
+    def unusable(self, reason: str) -> Values:
+        """That cannot be used: what to start with instead."""
+
+
+def _as_it_is(config: Config) -> Config:
+    return config
+
+
+class Configuration:
+    """The three layers and what they make, `config`. ConfigError at the start if they cannot be used; later a bad
+    layer changes nothing. `shape` makes of the whole what this process is to have of it."""
+
+    def __init__(
+        self, env: Mapping[str, str], operator: str | None, shape: Callable[[Config], Config] = _as_it_is
+    ) -> None:
+        self._env, self._operator, self.shape = env, operator, shape
+        self.platform = load(env)
+        self.own = self._read_operator()
+        self.managed: Values = {}
+        self.config = self._effective(self.platform, self.own, {})
+
+    def recall(self, memory: Memory) -> None:
+        """Start with what an agent had set. It must not keep a sidecar from starting."""
+        self.managed = memory.at_start()
+        while self.managed:
+            try:
+                self.config = self._effective(self.platform, self.own, self.managed)
+                return
+            except ConfigError as error:
+                self.managed = memory.unusable(str(error))
+
+    @property
+    def values(self) -> Values:
+        """The operators' settings in force, the agent's over those of the file."""
+        return self.own | self.managed
+
+    @property
+    def plan(self) -> Plan | None:
+        """What the operators want of membership; None where the platform's list is believed at once."""
+        return _plan(self.values)
+
+    def reread(self) -> None:
+        """Read both files again; ConfigError, and nothing changed, if they cannot be used."""
+        platform, own = load(self._env), self._unmoved(self._read_operator())
+        if platform.settings != self.platform.settings:
+            log.warning("reload: settings has changed, which takes a restart")
+            platform = replace(platform, settings=self.platform.settings)
+        config = self._effective(platform, own, self.managed)
+        self.platform, self.own = platform, own
+        self._adopt(config)
+
+    def manage(self, managed: Values) -> None:
+        """Take up what the agent has set, in place of what it had; ConfigError, and nothing changed, if it cannot
+        be used."""
+        config = self._effective(self.platform, self.own, managed)
+        self.managed = managed
+        self._adopt(config)
+
+    def reshape(self) -> None:
+        """`shape` has changed what it makes of the same layers."""
+        self._adopt(self._effective(self.platform, self.own, self.managed))
+
+    def try_managed(self, managed: Values) -> None:
+        """OperatorError if what the agent wants could not be used here; nothing changes."""
+        from covetally.operator import check, tune
+
+        if "workers.count" in managed and "workers.count" not in self.own:
+            reason = "takes a supervisor, which this sidecar has only if its own file names a number"
+            raise check.OperatorError([check.Problem("workers.count", managed["workers.count"], reason)])
+        tune.changes(self.platform, self.own | managed)
+        _plan(self.own | managed)
+
+    def _read_operator(self) -> Values:
+        if self._operator is None:
+            return {}
+        from covetally.operator import check
+
+        try:
+            return check.read(self._operator)
+        except check.OperatorError as error:
+            raise ConfigError(f"{self._operator}: {error}") from None
+
+    def _effective(self, platform: Config, own: Values, managed: Values) -> Config:
+        """The configuration that these three make; ConfigError if it cannot be used."""
+        if not own and not managed:
+            return self.shape(platform)
+        from covetally.operator import check, tune
+
+        try:
+            changes = tune.changes(platform, own | managed)
+            _plan(own | managed)
+            return self.shape(replace(platform, **changes))
+        except check.OperatorError as error:
+            raise ConfigError(str(error)) from None
+
+    def _unmoved(self, own: Values) -> Values:
+        """The operators' file as it was read again, with how this sidecar is managed left as it was."""
+        for name in {*self.own, *own}:
+            fixed = name.startswith("control.") and _takes_restart(name)
+            fixed = fixed or (name == "workers.count" and (name in own) != (name in self.own))
+            if fixed and own.get(name) != self.own.get(name):
+                log.warning("reload: %s has changed, which takes a restart", name)
+                own = {k: v for k, v in own.items() if k != name}
+                if name in self.own:
+                    own[name] = self.own[name]
+        return own
+
+    def _adopt(self, config: Config) -> None:
+        for name in FIXED:
+            if getattr(config, name) != getattr(self.config, name):
+                log.warning("reload: %s has changed, which takes a restart", name)
+        fixed = {name: getattr(self.config, name) for name in FIXED}
+        self.config = replace(config, **fixed, seed=self.config.seed, known=self.config.known)
+        logging.getLogger().setLevel(self.config.log_level.upper())
+
+
+def _plan(values: Values) -> Plan | None:
+    """As `Configuration.plan`; OperatorError if it cannot be had."""
+    if values.get("roster.source", "off") == "off" and "register.app" not in values:
+        return None
+    from covetally.membership import settings
+
+    settings.authorization(values)  # a registration alone needs them too
+    return settings.plan(values) if settings.wanted(values) else None
+
+
+def _takes_restart(name: str) -> bool:
+    from covetally.operator import schema
+
+    key = schema.find(name)
+    return key is not None and not key.live
--- a/covetally/control/gauges.py
+++ b/covetally/control/gauges.py
@@ -96,10 +96,10 @@
             "shed": process.frontend.shed,
             "open": process.sidecar.open,
             "lag_ms": round(worst, 1),
-            "state": "draining" if process.frontend.draining else "serving",
+            "state": process.state,
         } | ({"roster": process.roster.brief()} if process.roster is not None else {})
 
-    def snapshot(self) -> dict[str, Any]:
+    async def snapshot(self) -> dict[str, Any]:
         """All there is to tell."""
         process, config = self._process, self._process.config
         return self.beat() | {
--- /dev/null
+++ b/covetally/control/instance.py
@@ -0,0 +1,60 @@
+"""What management needs of the sidecar that it manages, be it one process or a supervisor with its workers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from covetally.configuration import Configuration
+    from covetally.control.gauges import Ring
+
+
+class Told(Protocol):
+    """What an instance can tell of itself, between `start` and `stop`."""
+
+    ring: Ring
+    started: float  # s since the epoch
+
+    def start(self) -> None:
+        """Begin to count."""
+
+    def stop(self) -> None:
+        """Count no more."""
+
+    def beat(self) -> dict[str, Any]:
+        """What goes with every heartbeat."""
+
+    async def snapshot(self) -> dict[str, Any]:
+        """All there is to tell."""
+
+
+class Instance(Protocol):
+    """A sidecar under management."""
+
+    configuration: Configuration
+
+    @property
+    def state(self) -> str:
+        """serving or draining."""
+
+    @property
+    def ending(self) -> bool:
+        """Whether it has been told to end."""
+
+    def gauges(self) -> Told:
+        """What tells of it, new and not started."""
+
+    def manage(self, values: dict[str, Any]) -> None:
+        """Take up these settings; ConfigError, and nothing changed, if they cannot be used."""
+
+    def rest(self, resting: bool) -> None:
+        """Tell clients to stay away, or to come back."""
+
+    def end(self) -> None:
+        """Drain and end."""
+
+    def order(self, what: str) -> str:
+        """An order to the roster: believe, hold or auto. Empty, or why not."""
+
+    async def roster_table(self) -> dict[str, Any]:
+        """What is believed of the list of nodes, and why."""
--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -16,14 +16,13 @@
 from typing import TYPE_CHECKING, Any
 
 from covetally.control import keep, taking
-from covetally.control.gauges import Gauges
 from covetally.control.protocol import HELLO_S, VERSIONS, Decoder, Message, ProtocolError, digest, encode
 from covetally.control.redial import Redial
 from covetally.control.taking import Held, Memory, Step
 from covetally.net.config import ConfigError
 
 if TYPE_CHECKING:
-    from covetally.process import Process
+    from covetally.control.instance import Instance, Told
 
 log = logging.getLogger(__name__)
 
@@ -35,10 +34,10 @@
 class Manager:
     """Created with the process, started when it serves."""
 
-    def __init__(self, process: Process) -> None:
-        self._process = process
-        own = process.own
-        self.name = str(own.get("control.name", process.platform.name))
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+        self._own = own = instance.configuration.own
+        self.name = str(own.get("control.name", instance.configuration.platform.name))
         self._labels = {
             k.removeprefix("control.labels."): v for k, v in own.items() if k.startswith("control.labels.")
         }
@@ -51,7 +50,7 @@
         self._proving: asyncio.TimerHandle | None = None
         self._writing = asyncio.Lock()
         self._told_down = False
-        self.gauges: Gauges
+        self.gauges: Told
 
     # --- before and after -----------------------------------------------------------------------
 
@@ -83,7 +82,7 @@
 
     def start(self) -> None:
         """The sidecar serves: look for the agent."""
-        self.gauges = Gauges(self._process)
+        self.gauges = self._instance.gauges()
         self.gauges.start()
         if self._memory.trial is not None:
             self._prove_later()
@@ -111,7 +110,7 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            values = self._process.values
+            values = self._instance.configuration.values
             self._redial.least = float(values.get("control.redial_min_s", 0.5))
             self._redial.most = float(values.get("control.redial_max_s", 30.0))
             start = loop.time()
@@ -140,7 +139,7 @@
                 raise ProtocolError(f"the agent denies: {first['reason']:.200}")
             if first["t"] != "welcome" or first["version"] not in VERSIONS:
                 raise ProtocolError(f"the agent answers {first!r:.200}")
-            log.info("managed as %s by the agent at %s", self.name, self._process.own["control.agent"])
+            log.info("managed as %s by the agent at %s", self.name, self._own["control.agent"])
             self._told_down = False
             beats = asyncio.create_task(self._beat())
             while True:
@@ -159,7 +158,7 @@
             writer.transport.abort()
 
     async def _dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        agent = str(self._process.own["control.agent"])
+        agent = str(self._own["control.agent"])
         kind, _, where = agent.partition(":")
         if kind == "unix":
             return await asyncio.open_unix_connection(where)
@@ -192,12 +191,12 @@
             "revision": now.revision, "digest": now.digest, "values": dict(now.values),
             "pending": memory.pending.digest if memory.pending else "",
             "failed": memory.failed.digest if memory.failed else "", "reason": memory.reason,
-            "may_restart": bool(self._process.own.get("control.may_restart", False)),
+            "may_restart": bool(self._own.get("control.may_restart", False)),
             "keeps": self._path is not None, "token": self._token(), "beat": self._beat_message(),
         }  # fmt: skip
 
     def _token(self) -> str:
-        path = self._process.own.get("control.token_file")
+        path = self._own.get("control.token_file")
         if path is None:
             return ""
         try:
@@ -209,7 +208,7 @@
     # --- what it tells --------------------------------------------------------------------------
 
     def _heartbeat_s(self) -> float:
-        return float(self._process.values.get("control.heartbeat_s", 5.0))
+        return float(self._instance.configuration.values.get("control.heartbeat_s", 5.0))
 
     def _beat_message(self) -> Message:
         memory = self._memory
@@ -229,25 +228,25 @@
             case "apply":
                 self._send(await self._offered(message))
             case "ask":
-                self._send({"t": "answer", "id": message["id"]} | self._asked(message["what"]))
+                self._send({"t": "answer", "id": message["id"]} | await self._asked(message["what"]))
             case "do":
                 done = self._do(message["what"])
                 self._send({"t": "answer", "id": message["id"], "error": done} | self._beat_message_plain())
 
     def _beat_message_plain(self) -> Message:
-        return {"state": "draining" if self._process.frontend.draining else "serving"}
+        return {"state": self._instance.state}
 
-    def _asked(self, what: str) -> dict[str, Any]:
+    async def _asked(self, what: str) -> dict[str, Any]:
         if what == "snapshot":
             now, memory = self._memory.in_force, self._memory
             managed = {
                 "revision": now.revision, "digest": now.digest, "values": dict(now.values),
-                "on_trial": memory.trial is not None, "settings": self._process.values,
+                "on_trial": memory.trial is not None, "settings": self._instance.configuration.values,
                 "pending": dict(memory.pending.values) if memory.pending else None, "failed": memory.reason,
             }  # fmt: skip
-            return {"data": self.gauges.snapshot() | {"managed": managed}}
+            return {"data": await self.gauges.snapshot() | {"managed": managed}}
         if what == "roster":
-            return {"data": self._process.roster_table()}
+            return {"data": await self._instance.roster_table()}
         if what == "ping":
             return {}
         if what == "logs":
@@ -256,23 +255,20 @@
 
     def _do(self, what: str) -> str:
         """Carry out an order; empty, or why not."""
-        process = self._process
-        if process.stop.is_set():
+        instance = self._instance
+        if instance.ending:
             return "" if what == "restart" else "the sidecar is ending"
         match what:
-            case "drain":
-                process.frontend.rest(True)
-            case "resume":
-                process.frontend.rest(False)
+            case "drain" | "resume":
+                instance.rest(what == "drain")
             case "believe" | "hold" | "auto":
-                if process.roster is None:
-                    return "roster.source is not set: the platform's list is believed at once"
-                process.roster.order(what)
+                if reason := instance.order(what):
+                    return reason
             case "restart":
-                if not process.own.get("control.may_restart", False):
+                if not self._own.get("control.may_restart", False):
                     return "control.may_restart is not set: nothing would start this sidecar again"
                 log.info("%s restarts at the agent's word", self.name)
-                process.stop.set()
+                instance.end()
             case _:
                 return f"nothing is known as {what:.40}"
         log.info("%s: %s at the agent's word", self.name, what)
@@ -288,7 +284,7 @@
                 self._memory = memory
                 await self._keep()
                 if step is Step.APPLY:
-                    self._process.manage(dict(offered.values))
+                    self._instance.manage(dict(offered.values))
                     self._prove_later()
             except (OSError, ConfigError) as error:
                 self._memory = before
@@ -307,12 +303,12 @@
 
         try:
             values = check.checked(offered.values, managed=True)
-            self._process.try_managed(values)
+            self._instance.configuration.try_managed(values)
         except check.OperatorError as error:
             return [p.table() for p in error.problems], []
         if digest(values) != offered.digest:
             return [{"key": "digest", "value": None, "reason": "is not of these settings", "remedy": ""}], []
-        own = self._process.own
+        own = self._own
         return [], check.restart_keys(own | dict(self._memory.in_force.values), own | values)
 
     async def _keep(self) -> None:
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -10,6 +10,7 @@
 import socket
 import time
 from itertools import islice
+from typing import Protocol
 from urllib.parse import parse_qs
 
 import httptools
@@ -161,6 +162,28 @@
     return headers, values, twice
 
 
+class Claims(Protocol):
+    """The ids of requests that are open in any of several processes at one address."""
+
+    def claim(self, trace_id: bytes) -> bool:
+        """Whether no other process has it open; from now on this one has."""
+
+    def release(self, trace_id: bytes) -> None:
+        """It is not open here any more."""
+
+
+def bound(address: tuple[str, int], backlog: int = 4096) -> socket.socket:
+    """A listener; OSError if the address cannot be had. What is set here holds for each of its connections."""
+    listener = socket.create_server(address, backlog=backlog)
+    listener.setblocking(False)
+    # A large one would let requests count as taken that nobody has read.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    # Without it the kernel keeps a last small piece back until what went before is acknowledged, which the peer
+    # may put off by 40 ms.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
+
+
 class Frontend:
     """Lets clients in under a budget of descriptors and sees each connection through."""
 
@@ -177,6 +200,7 @@
         self._lingering: dict[_Client, None] = {}  # had a last answer, and may send on
         self._ids = RecentIds(max(c.deadline_ns for c in settings.classes) / SECOND)
         self._listener: socket.socket
+        self._claims: Claims | None = None
         self._accepting = False
         self._drained = asyncio.Event()
         self.shed = 0  # requests refused at a glance, unread
@@ -196,17 +220,12 @@
 
     # --- letting in -----------------------------------------------------------------------------
 
-    def listen(self, address: tuple[str, int], backlog: int = 4096) -> tuple[str, int]:
-        """Bind and begin to accept; OSError if the address cannot be had. Returns the address."""
-        self._listener = socket.create_server(address, backlog=backlog)
-        self._listener.setblocking(False)
-        # Inherited by each connection. A large one would let requests count as taken that nobody has read.
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        # Inherited too. Without it the kernel keeps a last small piece back until what went before is
-        # acknowledged, which the peer may put off by 40 ms.
-        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def adopt(self, listener: socket.socket, claims: Claims | None = None) -> tuple[str, int]:
+        """Begin to accept at a listener; `claims` knows the ids that others beside this one have open. Returns
+        the address."""
+        self._listener, self._claims = listener, claims
         self._resume()
-        return self._listener.getsockname()
+        return listener.getsockname()
 
     def _resume(self) -> None:
         if not self._accepting and self._listener.fileno() >= 0:
@@ -320,7 +339,14 @@
 
     def claim(self, trace_id: bytes) -> bool:
         """Whether this is a new request's id."""
-        return self._ids.claim(trace_id, asyncio.get_running_loop().time())
+        if not self._ids.claim(trace_id, asyncio.get_running_loop().time()):
+            return False
+        return self._claims is None or self._claims.claim(trace_id)
+
+    def release(self, trace_id: bytes) -> None:
+        """The request of that id is over."""
+        if self._claims is not None:
+            self._claims.release(trace_id)
 
     # --- the end --------------------------------------------------------------------------------
 
@@ -402,9 +428,9 @@
     """One connection of the application, and the exchange that is under way on it."""
 
     __slots__ = (
-        "_arrival", "_body", "_dropped", "_due", "_fresh", "_frontend", "_head", "_headers", "_hold", "_last",
-        "_let_in", "_loop", "_phase", "_tid", "_timer", "_timer_at", "_trace_id", "in_message", "request",
-        "since", "stream",
+        "_arrival", "_body", "_claimed", "_dropped", "_due", "_fresh", "_frontend", "_head", "_headers",
+        "_hold", "_last", "_let_in", "_loop", "_phase", "_tid", "_timer", "_timer_at", "_trace_id",
+        "in_message", "request", "since", "stream",
     )  # fmt: skip
 
     request: Request
@@ -418,6 +444,7 @@
         self._head: RequestHead | None = None
         self._body: bytes | bytearray = b""
         self._last = False  # the answer being written is the last one here
+        self._claimed = False  # its id is known to be open here
         self._let_in = False  # the module has been asked about this request's wait
         self._dropped = 0
         self._fresh = True  # no request has come whole yet
@@ -437,7 +464,7 @@
         if self._phase is CLOSED:
             return
         phase, self._phase = self._phase, CLOSED
-        self._hold.release()
+        self._release()
         if self._timer is not None:
             self._timer.cancel()
         self.stream.abort(reset)
@@ -445,6 +472,13 @@
             self._frontend.sidecar.hang_up(self._tid)
         self._frontend.ended(self)
 
+    def _release(self) -> None:
+        """Whatever was held for the request at hand is not any more."""
+        self._hold.release()
+        if self._claimed:
+            self._claimed = False
+            self._frontend.release(self._trace_id)
+
     # --- time -----------------------------------------------------------------------------------
 
     def _wait_for(self, seconds: float) -> None:
@@ -572,8 +606,10 @@
         if stream.leftover:
             # Guards against requests hidden behind others: the protocol has one at a time on a connection.
             raise _Rejected(400, "more than one request at a time")
-        if arrival is not None and not frontend.claim(self._trace_id):
-            raise _Rejected(409, "the id of another request")
+        if arrival is not None:
+            if not frontend.claim(self._trace_id):
+                raise _Rejected(409, "the id of another request")
+            self._claimed = True
         body, self._body, self._head = self._body, b"", None
         self._fresh = False
         frontend.busy(self)
@@ -595,7 +631,7 @@
         if self._phase is not WAITING:
             return
         self._phase = WRITING
-        self._hold.release()
+        self._release()
         stream = self.stream
         self._last = self._frontend.draining or stream.leftover  # what is left over came before this answer
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -11,15 +11,15 @@
 import logging
 import os
 import signal
-from collections.abc import Callable, Mapping
-from dataclasses import fields, replace
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from covetally.configuration import Configuration
 from covetally.interface import SECOND, Directory
 from covetally.net.clock import Clock
-from covetally.net.config import Config, ConfigError, load
+from covetally.net.config import ConfigError
 from covetally.net.discovery import Discovery, ListError, News, read_list
-from covetally.net.frontend import Frontend
+from covetally.net.frontend import Frontend, bound
 from covetally.net.peers import Peers
 from covetally.net.sidecar import Sidecar
 from covetally.net.upstream import Upstream
@@ -28,34 +28,29 @@
     from covetally.membership.register import Registrar
     from covetally.membership.roster import Roster
     from covetally.membership.settings import Plan
+    from covetally.control.gauges import Gauges
     from covetally.control.manager import Manager
     from covetally.operator.schema import Values
+    from covetally.workers.member import Member
 
 log = logging.getLogger("covetally")
 
 DRAIN_SPARE_S = 0.5  # SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM
-FIXED = ("name", "listen", "peer_listen", "sockets", "memory", "load_fields", "backlog")
 
 
 class Process:
-    """A sidecar from its configuration to its end.
+    """A sidecar from its configuration to its end. `member` is there in a worker: its share of the whole."""
 
-    What is in force is the platform's configuration, with the operators' file over it, and over that what an
-    agent has set. `platform` and `own` are read again on SIGHUP; `managed` is the agent's.
-    """
-
-    def __init__(self, env: Mapping[str, str], operator: str | None) -> None:
-        self._env, self._operator = env, operator
-        self.platform = load(env)
-        self.own = self._read_operator()
-        self.managed: Values = {}
+    def __init__(self, configuration: Configuration, member: Member | None = None) -> None:
+        self.configuration = configuration
+        self.member = member
         self.manager: Manager | None = None
-        if "control.agent" in self.own:
+        if "control.agent" in configuration.own and member is None:
             from covetally.control.manager import Manager
 
             self.manager = Manager(self)
-            self.managed = self.manager.at_start()
-        self.config = config = self._first()
+            configuration.recall(self.manager)
+        self.config = config = configuration.config
         self.stop = asyncio.Event()
         self.roster: Roster | None = None
         self.registrar: Registrar | None = None
@@ -69,42 +64,44 @@
         )
         self.frontend = Frontend(settings, self.sidecar, config.client_connections, config.body_memory)
 
-    def _first(self) -> Config:
-        """The configuration to start with. What an agent has set must not keep a sidecar from starting."""
-        while self.manager is not None and self.managed:
-            try:
-                return self._effective(self.platform, self.own, self.managed)
-            except ConfigError as error:
-                self.managed = self.manager.unusable(str(error))
-        return self._effective(self.platform, self.own, {})
+    # --- what management asks for (see control/instance.py) -------------------------------------
 
     @property
-    def values(self) -> Values:
-        """The operators' settings in force, the agent's over those of the file."""
-        return self.own | self.managed
+    def state(self) -> str:
+        """serving or draining."""
+        return "draining" if self.frontend.draining else "serving"
 
-    def _read_operator(self) -> Values:
-        if self._operator is None:
-            return {}
-        from covetally.operator import check
+    @property
+    def ending(self) -> bool:
+        """Whether it has been told to end."""
+        return self.stop.is_set()
 
-        try:
-            return check.read(self._operator)
-        except check.OperatorError as error:
-            raise ConfigError(f"{self._operator}: {error}") from None
+    def gauges(self) -> Gauges:
+        """What tells of it."""
+        from covetally.control.gauges import Gauges
 
-    def _effective(self, platform: Config, own: Values, managed: Values) -> Config:
-        """The configuration that these three make; ConfigError if it cannot be used."""
-        if not own and not managed:
-            return platform
-        from covetally.operator import check, tune
+        return Gauges(self)
 
-        try:
-            changes = tune.changes(platform, own | managed)
-            self._plan(own | managed)
-            return replace(platform, **changes)
-        except check.OperatorError as error:
-            raise ConfigError(str(error)) from None
+    def rest(self, resting: bool) -> None:
+        """Tell clients to stay away, or to come back."""
+        self.frontend.rest(resting)
+
+    def end(self) -> None:
+        """Drain and end."""
+        self.stop.set()
+
+    def order(self, what: str) -> str:
+        """An order to the roster; empty, or why not."""
+        if self.roster is None:
+            return "roster.source is not set: the platform's list is believed at once"
+        self.roster.order(what)
+        return ""
+
+    def manage(self, managed: Values) -> None:
+        """Take up what the agent has set, in place of what it had; ConfigError, and nothing changed, if this
+        sidecar cannot use it."""
+        self.configuration.manage(managed)
+        self._adopt()
 
     # --- the life of it -------------------------------------------------------------------------
 
@@ -137,7 +134,7 @@
         self.peers.on_message = self.sidecar.heard
         if config.peer_listen is not None:
             await _bind("peer_listen", lambda: self.peers.listen(config.peer_listen))
-        plan = self._plan(self.values)
+        plan = self.configuration.plan
         if plan is None:
             self._tell(known, "SAVED")
         else:
@@ -145,10 +142,13 @@
             self.roster.recall(known)
             self.roster.start()
             await self.roster.first()
-        try:
-            self.address = self.frontend.listen(config.listen, config.backlog)
-        except OSError as error:
-            raise ConfigError(f"listen: {error}") from None
+        if self.member is not None:
+            self.address = self.frontend.adopt(self.member.listener, self.member.claims)
+        else:
+            try:
+                self.address = self.frontend.adopt(bound(config.listen, config.backlog))
+            except OSError as error:
+                raise ConfigError(f"listen: {error}") from None
         if self.roster is None:
             self.discovery.start()
         if "register.app" in self.values:
@@ -166,17 +166,6 @@
 
     # --- where the list of nodes comes from -----------------------------------------------------
 
-    @staticmethod
-    def _plan(values: Values) -> Plan | None:
-        """What the operators want of membership; None where the platform's list is believed at once.
-        OperatorError if it cannot be had."""
-        if values.get("roster.source", "off") == "off" and "register.app" not in values:
-            return None
-        from covetally.membership import settings
-
-        settings.authorization(values)  # a registration alone needs them too
-        return settings.plan(values) if settings.wanted(values) else None
-
     def _made(self, plan: Plan) -> Roster:
         from covetally.membership.roster import Parts, Roster
 
@@ -190,7 +179,7 @@
 
     def _rewire(self) -> None:
         """Serve from the source that is wanted now. The list in force stays until the new one says otherwise."""
-        plan = self._plan(self.values)
+        plan = self.configuration.plan
         if plan is not None and self.roster is not None:
             self.roster.retune(plan, self.config.settings)
         elif plan is not None:
@@ -204,7 +193,7 @@
             self.discovery.on_list = self._listed
             self.discovery.again()
 
-    def roster_table(self) -> dict[str, Any]:
+    async def roster_table(self) -> dict[str, Any]:
         """What is believed of the list of nodes and why, for operators."""
         if self.roster is not None:
             return self.roster.table()
@@ -228,7 +217,8 @@
             await self.registrar.stop()
         if self.manager is not None:
             self.manager.goodbye()
-        longest = max(c.deadline_ns for c in self.platform.settings.classes)  # a call may be older than a change
+        classes = self.configuration.platform.settings.classes  # a call may be older than a change
+        longest = max(c.deadline_ns for c in classes)
         await self.frontend.drain(longest / SECOND + DRAIN_SPARE_S)
         self.discovery.stop()
         if self.roster is not None:
@@ -243,56 +233,25 @@
     def reload(self) -> None:
         """Take up what may change while requests are under way; a bad configuration changes nothing."""
         try:
-            platform, own = load(self._env), self._unmoved(self._read_operator())
-            if platform.settings != self.platform.settings:
-                log.warning("reload: settings has changed, which takes a restart")
-                platform = replace(platform, settings=self.platform.settings)
-            config = self._effective(platform, own, self.managed)
+            self.configuration.reread()
         except ConfigError as error:
             log.error("reload: %s: the old configuration stays", error)
             return
-        self.platform, self.own = platform, own
-        self._adopt(config)
+        self._adopt()
         log.info("%s has taken up its configuration anew", self.config.name)
 
-    def _unmoved(self, own: Values) -> Values:
-        """The operators' file as it was read again, with how this sidecar is managed left as it was."""
-        for name in {*self.own, *own}:
-            if name.startswith("control.") and own.get(name) != self.own.get(name) and self._fixed(name):
-                log.warning("reload: %s has changed, which takes a restart", name)
-                own = {k: v for k, v in own.items() if k != name}
-                if name in self.own:
-                    own[name] = self.own[name]
-        return own
+    def reshape(self) -> None:
+        """This worker's share of the whole has changed."""
+        self.configuration.reshape()
+        self._adopt()
 
-    @staticmethod
-    def _fixed(name: str) -> bool:
-        from covetally.operator import schema
-
-        key = schema.find(name)
-        return key is not None and not key.live
+    @property
+    def values(self) -> Values:
+        """The operators' settings in force."""
+        return self.configuration.values
 
-    def manage(self, managed: Values) -> None:
-        """Take up what the agent has set, in place of what it had; ConfigError, and nothing changed, if this
-        sidecar cannot use it."""
-        config = self._effective(self.platform, self.own, managed)
-        self.managed = managed
-        self._adopt(config)
-
-    def try_managed(self, managed: Values) -> None:
-        """OperatorError if this sidecar could not use what the agent wants; nothing changes."""
-        from covetally.operator import tune
-
-        tune.changes(self.platform, self.own | managed)
-        self._plan(self.own | managed)
-
-    def _adopt(self, config: Config) -> None:
-        for name in FIXED:
-            if getattr(config, name) != getattr(self.config, name):
-                log.warning("reload: %s has changed, which takes a restart", name)
-        fixed = {name: getattr(self.config, name) for name in FIXED}
-        self.config = config = replace(config, **fixed, seed=self.config.seed, known=self.config.known)
-        logging.getLogger().setLevel(config.log_level.upper())
+    def _adopt(self) -> None:
+        self.config = config = self.configuration.config
         self.discovery.move(config.discovery)
         self.peers.move(config.peers, config.peers_all)
         self.sidecar.retune(config.settings)
@@ -308,9 +267,12 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
-assert set(FIXED) <= {f.name for f in fields(Config)}
-
-
 async def serve(operator: str | None) -> None:
     """Run one sidecar until it is told to end; ConfigError if it cannot be started."""
-    await Process(os.environ, operator).run()
+    configuration = Configuration(os.environ, operator)
+    if "workers.count" in configuration.own:
+        from covetally.workers.supervisor import Supervisor
+
+        await Supervisor(configuration, operator).run()
+    else:
+        await Process(configuration).run()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,7 +10,7 @@
 
 from covetally.interface import Directory, Entry
 from covetally.net.clock import Clock
-from covetally.net.frontend import Frontend
+from covetally.net.frontend import Frontend, bound
 from covetally.net.sidecar import Sidecar
 from covetally.net.upstream import Upstream
 from tests.support import settings
@@ -147,7 +147,7 @@
     for server in here.servers.values():
         await server.start()
     here.tell(here.servers)
-    here.address = frontend.listen(("127.0.0.1", 0))
+    here.address = frontend.adopt(bound(("127.0.0.1", 0)))
     try:
         async with asyncio.timeout(WAIT_S):
             yield here
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -246,10 +246,10 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}))
     code = (
-        "import asyncio, os, sys\nfrom covetally.process import Process\n"
-        "async def main(): Process(os.environ, None)\nasyncio.run(main())\n"
+        "import asyncio, os, sys\nfrom covetally.process import Process, Configuration\n"
+        "async def main(): Process(Configuration(os.environ, None))\nasyncio.run(main())\n"
         "print([m for m in sys.modules if m.startswith('covetally.') and m.split('.')[1] not in"
-        " ('net', 'balance', 'interface', 'process')], 'tomllib' in sys.modules)"
+        " ('net', 'balance', 'interface', 'process', 'configuration')], 'tomllib' in sys.modules)"
     )
     done = subprocess.run(
         [sys.executable, "-c", code],
