Look at answers between turns of new requests, and serve the newest under overload

What has lain here is read in turns of 10 ms, with the sockets looked at in between. Under overload (some have waited over a quarter of the aim for an aim on end) the newest is served and the oldest refused, unread, half the time each.

Also: workers, not tested yet over processes.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -82,7 +82,9 @@
         await self._discovery.kill()
         self._folder.cleanup()
 
-    async def sidecar(self, tree: Path | None = None, out: Path | None = None) -> Sidecar:
+    async def sidecar(
+        self, tree: Path | None = None, out: Path | None = None, arguments: tuple[str, ...] = ()
+    ) -> Sidecar:
         """A sidecar of this checkout or another; with `out` under the profiler."""
         name = f"s{self._serial}"
         self._serial += 1
@@ -97,12 +99,14 @@
         path.write_text(json.dumps(config))
         module = ["benchmarks.sampled", str(out)] if out is not None else ["covetally"]
         env = os.environ | {"EDGE_CONFIG": str(path)}
-        log = (self.folder / f"{name}.log").open("wb")
-        process = await _start(sys.executable, "-m", *module, env=env, cwd=tree or Path.cwd(), stderr=log)
+        log = self.folder / f"{name}.log"
+        words = (*module, *arguments)
+        with log.open("wb") as file:
+            process = await _start(sys.executable, "-m", *words, env=env, cwd=tree or Path.cwd(), stderr=file)
         self._processes.append(process)
         _pin(process.pid, SIDECAR_CORE)
         await _ready(address)
-        return Sidecar(process, address, tree)
+        return Sidecar(process, address, tree, log)
 
     async def relay(self) -> Sidecar:
         """A bare relay to one node, in the sidecar's place."""
@@ -112,7 +116,7 @@
         self._processes.append(process)
         assert process.stdout is not None
         port = json.loads(await process.stdout.readline())[0]
-        return Sidecar(process, ("127.0.0.1", port), None)
+        return Sidecar(process, ("127.0.0.1", port), None, None)
 
 
 async def _ready(address: tuple[str, int]) -> None:
@@ -133,8 +137,10 @@
 class Sidecar:
     """What is measured."""
 
-    def __init__(self, process: asyncio.subprocess.Process, address: tuple[str, int], tree: Path | None) -> None:
-        self.process, self.address, self.tree = process, address, tree
+    def __init__(
+        self, process: asyncio.subprocess.Process, address: tuple[str, int], tree: Path | None, log: Path | None
+    ) -> None:
+        self.process, self.address, self.tree, self.log = process, address, tree, log
 
     async def ask(
         self, rate: float, seconds: float, connections: int, method: str = "GET", kind: str = "kept",
--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -46,7 +46,6 @@
 SHUN = 0.25  # failure average of a class on one server past which that server may be shunned for it
 TASTE = 1 / 32  # share of such calls that a shunned server gets all the same, to show that it is well again
 CUT = 0.6  # failure average past which a zone counts as cut off: three failed connections in a row
-KEPT_DOWN, KEPT_UP, KEPT_LEAST = 0.85, 0.05, 0.02  # how the share let in under overload changes at each turn
 MOST_TOKENS = 2.0 / RETRY_RATIO
 MOST_TRIALS = 2.0
 TRIAL_RATIO = 0.1  # trials of servers at k = 0 earned by one request
@@ -149,8 +148,9 @@
         self._rng = random.Random(seed)
         self._random = self._rng.random
         self._acts: list[Action] = []
-        self._figure = max(FIGURE, SERVER / settings.replicas)
-        self._steps = max(1, int(STEPS / self._figure))
+        whole = max(FIGURE, SERVER / settings.replicas)
+        self._figure = whole * settings.part
+        self._steps = max(1, int(STEPS / whole))
         self._servers: dict[str, Server] = {}
         self._up: list[Server] = []
         self._room: list[Server] = []  # servers under budget, in no order that hashing could change
@@ -170,9 +170,8 @@
         self._wait_at = now
         self._own = 0.0  # this process's own delay of late, between an attempt's submission and its outcome
         self._own_at = now
-        self._kept = 1.0  # share of the requests that waited which are let in
-        self._glanced_at = self._turn_at = 0  # when a request was last looked at, and the share is next
-        self._late_from = self._least_age = 0  # since when all wait too long, and how long at least in this turn
+        self._late_from = self._late_at = 0  # first and last request that waited too long, of those now coming
+        self.shedding = False  # requests that waited are refused, at a glance where that can be; see `glance`
         self._size = float(sum(self._unit)) / len(settings.classes)  # mean size of late
         self._tokens = 1.0 / RETRY_RATIO
         self._trials = 1.0
@@ -195,6 +194,7 @@
     def retune(self, settings: Settings) -> None:
         """Go on with other figures for the same classes. What was learned stays, as do open calls' deadlines."""
         self._set = settings
+        self._portion(max(FIGURE, SERVER / settings.replicas) * settings.part)
         self._horizon = max(c.deadline_ns for c in settings.classes)
         aim = min(c.aim_ns for c in settings.classes)
         self._pace = aim // 16  # how often held calls are looked at
@@ -203,6 +203,15 @@
         self._cross, self._handshake = (settings.prices.get(name, 0.0) for name in ("crossZone", "handshake"))
         self._conn_idle = settings.limits.conn_idle_ns
 
+    def _portion(self, figure: float) -> None:
+        """Have another part of the budgets from here on."""
+        if figure != self._figure:
+            for server in self._servers.values():
+                server.figure *= figure / self._figure
+                server.ceiling = figure
+                self._refresh(server)
+            self._figure = figure
+
     def beliefs(self, now: int) -> list[Belief]:
         """What is believed of each server on the list, for operators to read."""
         return [
@@ -273,42 +282,27 @@
         elif not self._try(now, call):
             self._hold(now, call)
 
-    @property
-    def shedding(self) -> bool:
-        """Whether requests that waited may be refused at a glance; see `glance`."""
-        return self._kept < 1.0
-
     def glance(self, now: int, age: int, retry: bool) -> int:
         """Whether a request that has waited here for `age` is let in: 0 if so, else after how many ns its client
         may come back. It need not have been read: nothing else of it counts.
 
-        Exception "overload": more has come than this process can work through, and it waits in a queue. Guards
-        against a queue of requests that wait to be read, where each is served too late, its client asks again,
-        and all work is wasted. A short burst is served whole; once all have waited over a quarter of the shortest
-        aim for twice that aim, of those that waited only a share is kept, which shrinks while that goes on and
-        grows again when it does not. The others are refused at once, which costs a fraction of serving them.
-        Whoever asks again is refused with them: the time told before was longer than the aim. It ought to catch
-        whatever makes this process slower than what comes: a smaller share of a core, dearer requests, crowds of
-        connections. It could do harm where the ages are wrong.
+        Exception "overload": more has come than this process can work through. Guards against a queue of
+        requests that wait to be read, where each is served too late, its client asks again, and all work is
+        wasted. A short burst is served whole. Once some have always waited for over a quarter of the shortest
+        aim, for an aim, those are refused at once, which costs a fraction of serving them, and so is whoever asks
+        again: the time told before was longer than the aim. The others are served; it ends when none waits so
+        long any more. It ought to catch whatever makes this process slower than what comes: a smaller share of a
+        core, dearer requests, crowds of connections. It could do harm where the ages are wrong.
         """
-        if age < self._pace and self._kept >= 1.0:
-            self._glanced_at, self._late_from, self._least_age = now, 0, age
-            return 0
-        patience = self._settle // 2
-        if now - self._glanced_at > patience:  # a silence tells of no queue
-            self._kept, self._late_from, self._least_age = 1.0, 0, age
-        self._glanced_at = now
-        self._least_age = min(self._least_age, age)
-        if now >= self._turn_at:
-            if self._least_age <= self._settle // 16:
-                self._late_from = 0
-                self._kept = min(1.0, self._kept + KEPT_UP)
-            elif not self._late_from:
+        late = age > self._settle // 16
+        if late:
+            if now - self._late_at > self._settle // 4:  # an aim without one: the queue had gone
                 self._late_from = now
-            elif now - self._late_from > patience or self._kept < 1.0:
-                self._kept = max(KEPT_LEAST, self._kept * KEPT_DOWN)
-            self._turn_at, self._least_age = now + self._pace, age
-        if self._kept >= 1.0 or age < self._pace or (not retry and self._random() < self._kept):
+            self._late_at = now
+        elif not self.shedding:
+            return 0
+        self.shedding = self._late_at - self._late_from > self._settle // 4 >= now - self._late_at
+        if not self.shedding or not (late or retry):
             return 0
         return max(1, self._set.limits.max_retry_after_ns)
 
--- a/covetally/cli/fleet.py
+++ b/covetally/cli/fleet.py
@@ -162,6 +162,13 @@
         return
     counts = [(cls, *numbers) for cls, numbers in snapshot["counts"].items()]
     print_table(("class", "served", "refused", "failed", "left"), counts)
+    if snapshot.get("shed"):
+        console.print(f"{snapshot['shed']} requests refused unread, under overload")
+    if "workers" in snapshot:
+        console.print(f"{snapshot['deaths']} workers have ended without being told to")
+        columns = ("place", "pid", "state", "open", "lag_ms", "clients", "memory_kib")
+        rows = [tuple(w.get(name, "") for name in columns) for w in snapshot["workers"]]
+        print_table(("worker", "pid", "state", "open", "lag ms", "clients", "KiB"), rows)
     limits = [(k, *(v if isinstance(v, list) else ("", v))) for k, v in snapshot["limits"].items()]
     print_table(("limit", "used", "of"), limits)
     nodes = [
--- a/covetally/configuration.py
+++ b/covetally/configuration.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import fields, replace
 from typing import TYPE_CHECKING, Protocol
 
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from covetally.membership.settings import Plan
     from covetally.operator.schema import Values
+    from covetally.workers.member import Member
 
 log = logging.getLogger("covetally")
 
@@ -33,18 +34,26 @@
         """That cannot be used: what to start with instead."""
 
 
-def _as_it_is(config: Config) -> Config:
-    return config
+class Whole:
+    """What a process is to have of the configuration where it is the whole sidecar: all of it."""
+
+    def config(self, whole: Config) -> Config:
+        """The configuration as it holds here."""
+        return whole
+
+    def own(self, values: Values) -> Values:
+        """The operators' settings as they hold here."""
+        return values
 
 
 class Configuration:
     """The three layers and what they make, `config`. ConfigError at the start if they cannot be used; later a bad
-    layer changes nothing. `shape` makes of the whole what this process is to have of it."""
+    layer changes nothing. `shape` makes of the whole what this process is to have of it: a worker, its share."""
 
     def __init__(
-        self, env: Mapping[str, str], operator: str | None, shape: Callable[[Config], Config] = _as_it_is
+        self, env: Mapping[str, str], operator: str | None, shape: Whole | Member | None = None
     ) -> None:
-        self._env, self._operator, self.shape = env, operator, shape
+        self._env, self._operator, self._shape = env, operator, shape or Whole()
         self.platform = load(env)
         self.own = self._read_operator()
         self.managed: Values = {}
@@ -107,20 +116,20 @@
         from covetally.operator import check
 
         try:
-            return check.read(self._operator)
+            return self._shape.own(check.read(self._operator))
         except check.OperatorError as error:
             raise ConfigError(f"{self._operator}: {error}") from None
 
     def _effective(self, platform: Config, own: Values, managed: Values) -> Config:
         """The configuration that these three make; ConfigError if it cannot be used."""
         if not own and not managed:
-            return self.shape(platform)
+            return self._shape.config(platform)
         from covetally.operator import check, tune
 
         try:
             changes = tune.changes(platform, own | managed)
             _plan(own | managed)
-            return self.shape(replace(platform, **changes))
+            return self._shape.config(replace(platform, **changes))
         except check.OperatorError as error:
             raise ConfigError(str(error)) from None
 
--- a/covetally/control/gauges.py
+++ b/covetally/control/gauges.py
@@ -99,6 +99,10 @@
             "state": process.state,
         } | ({"roster": process.roster.brief()} if process.roster is not None else {})
 
+    async def logs(self) -> list[dict[str, Any]]:
+        """The last log lines, oldest first."""
+        return list(self.ring.lines)
+
     async def snapshot(self) -> dict[str, Any]:
         """All there is to tell."""
         process, config = self._process, self._process.config
--- a/covetally/control/instance.py
+++ b/covetally/control/instance.py
@@ -6,13 +6,11 @@
 
 if TYPE_CHECKING:
     from covetally.configuration import Configuration
-    from covetally.control.gauges import Ring
 
 
 class Told(Protocol):
     """What an instance can tell of itself, between `start` and `stop`."""
 
-    ring: Ring
     started: float  # s since the epoch
 
     def start(self) -> None:
@@ -27,6 +25,9 @@
     async def snapshot(self) -> dict[str, Any]:
         """All there is to tell."""
 
+    async def logs(self) -> list[dict[str, Any]]:
+        """The last log lines, oldest first."""
+
 
 class Instance(Protocol):
     """A sidecar under management."""
--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -250,7 +250,7 @@
         if what == "ping":
             return {}
         if what == "logs":
-            return {"data": list(self.gauges.ring.lines)}
+            return {"data": await self.gauges.logs()}
         return {"error": f"nothing is known as {what:.40}"}
 
     def _do(self, what: str) -> str:
--- a/covetally/interface.py
+++ b/covetally/interface.py
@@ -107,6 +107,7 @@
     invariants: Invariants = field(default_factory=Invariants)
     prices: Mapping[str, float] = field(default_factory=dict)
     tenants: tuple[Tenant, ...] = ()
+    part: float = 1.0  # of one sidecar's budgets, where several processes share them
 
     @classmethod
     def parse(cls, raw: Any) -> Settings:
--- a/covetally/membership/register.py
+++ b/covetally/membership/register.py
@@ -57,12 +57,13 @@
         """Register, and renew from now on."""
         self._task = asyncio.create_task(self._run())
 
-    async def stop(self) -> None:
-        """Take the instance out of the registry; a registry that does not answer is not waited for."""
+    async def stop(self, cancel: bool = True) -> None:
+        """Take the instance out of the registry, unless another process renews it from here on; a registry that
+        does not answer is not waited for."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.wait([self._task])
-        if self._lease.status:
+        if self._lease.status and cancel:
             try:
                 async with asyncio.timeout(CANCEL_S):
                     await self._call("DELETE", self._place())
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -51,6 +51,8 @@
 HALF_SENT_S = 0.1  # after that, for requests still coming; until the next process is up nobody serves
 LINGER_S = 1.0  # how long a closing connection goes on reading what its client still sends,
 LINGER_BYTES = 1024 * 1024  # and how much of it
+PROMPT_NS = 6_000_000  # what has lain here no longer is read at once,
+TURN_S = 0.01  # and the rest for so long between two looks at the sockets
 MAX_COST_NS = 60 * SECOND  # no hint of more work than this is believed
 TEXT = [(b"content-type", b"text/plain")]
 
@@ -204,12 +206,14 @@
         self._accepting = False
         self._drained = asyncio.Event()
         self.shed = 0  # requests refused at a glance, unread
+        self._turns: dict[_Client, None] = {}  # have news that has lain here, in the order of its coming
 
     def retune(self, settings: Settings, limit: int, body_memory: int) -> None:
         """Keep to these from here on. Connections beyond a lower limit go as they fall idle, none before."""
         self.heads = Heads(settings)
         self.budget.resize(body_memory)
         self._limit = limit
+        self._old_ns = min(c.aim_ns for c in settings.classes) // 4  # those that have lain so long are refused
         self._rest_limit = max(1, int(limit * REST_SHARE))
         self._burst = max(8, int(limit * ACCEPT_BURST))
 
@@ -300,6 +304,48 @@
             self._drained.set()
         self._resume()
 
+    # --- whose turn it is -----------------------------------------------------------------------
+
+    def due(self, client: _Client) -> bool:
+        """Whether a client's news is to be read now; else it is told to go on when its turn comes.
+
+        Guards against a loop that is late and reads all that has come before it looks at the servers' answers:
+        each of those waits behind hundreds of new requests, and comes too late in its turn. So what has lain here
+        is read for TURN_S between two looks at the sockets, in order of its coming; under overload the newest
+        too, since the oldest will be refused. It costs a request that waited a turn of the loop more.
+        """
+        if not self._turns and time.monotonic_ns() - client.stream.received_at < PROMPT_NS:
+            return True
+        if client not in self._turns:
+            self._turns[client] = None
+            if len(self._turns) == 1:
+                asyncio.get_running_loop().call_soon(self._take_turns)
+        return False
+
+    def _take_turns(self) -> None:
+        loop, turns = asyncio.get_running_loop(), self._turns
+        start = at = loop.time()
+        ahead = 0.0  # time spent on the newest, less that on the oldest
+        while turns and at < start + TURN_S:
+            newest = ahead <= 0.0 and self.sidecar.shedding and self._newest_first(turns)
+            client = next(reversed(turns)) if newest else next(iter(turns))
+            del turns[client]
+            client.go_on()
+            now = loop.time()
+            ahead += now - at if newest else at - now
+            at = now
+        if turns:
+            loop.call_soon(self._take_turns)
+
+    def _newest_first(self, turns: dict[_Client, None]) -> bool:
+        """Under overload, whether the newest is served before the oldest is refused.
+
+        Refusing alone can take all there is, so the two get the same time, as long as there is one that need not
+        be refused and none has waited for an aim: that one is owed an answer first."""
+        now = time.monotonic_ns()
+        oldest, newest = next(iter(turns)).stream.received_at, next(reversed(turns)).stream.received_at
+        return now - newest < self._old_ns and now - oldest < 4 * self._old_ns
+
     # --- what connections tell ------------------------------------------------------------------
 
     def idle(self, client: _Client) -> None:
@@ -357,15 +403,17 @@
         if resting:
             self._close_waiting(idle_only=True)
 
-    async def drain(self, within_s: float) -> None:
-        """Finish what was taken. New connections go on coming for a while and are served too."""
+    async def drain(self, within_s: float, accept: bool = True) -> None:
+        """Finish what was taken. New connections go on coming for a while and are served too, unless others
+        accept at the same address and go on."""
         loop = asyncio.get_running_loop()
         end = loop.time() + within_s
         self.draining = True
         self._close_waiting(idle_only=True)  # early: a request that crosses this finds the listener open
-        await asyncio.sleep(ACCEPT_ON_S)
+        if accept:
+            await asyncio.sleep(ACCEPT_ON_S)
         self._pause()
-        while self._let_in():  # what waits in the backlog has been taken by this machine
+        while accept and self._let_in():  # what waits in the backlog has been taken by this machine
             pass
         self._listener.close()
         await asyncio.sleep(HALF_SENT_S)
@@ -518,19 +566,26 @@
         elif stream.closing or stream.lost:
             self.close()  # as in `_let_in`: nobody is there to see an answer to what has come
         elif phase is READING:
-            if not self.in_message and not stream.eof:
-                if self._frontend.sidecar.shedding and self._turned_away():
-                    return
-                self.in_message = True
-                if not self._fresh:
-                    self.since = self._loop.time()
-                    self._due = self.since + REQUEST_S
-            self._read()
-            if self._phase is READING and not self._fresh and self._timer_at > self._due:
-                self._wait_for(self._due - self._loop.time())
+            if self._frontend.due(self):
+                self.go_on()
         elif stream.eof:
             self.close()
 
+    def go_on(self) -> None:
+        """Read what has come; its turn has come too."""
+        if self._phase is not READING:
+            return
+        if not self.in_message and not self.stream.eof:
+            if self._frontend.sidecar.shedding and self._turned_away():
+                return
+            self.in_message = True
+            if not self._fresh:
+                self.since = self._loop.time()
+                self._due = self.since + REQUEST_S
+        self._read()
+        if self._phase is READING and not self._fresh and self._timer_at > self._due:
+            self._wait_for(self._due - self._loop.time())
+
     def _turned_away(self) -> bool:
         """Whether a request was refused at a glance, unread: under overload a refusal must cost next to nothing.
 
--- a/covetally/operator/example.py
+++ b/covetally/operator/example.py
@@ -14,6 +14,7 @@
     "classes.*.aim_ms": "300",
     "classes.*.deadline_ms": "1000",
     "discovery.address": '"10.2.0.1:8500"',
+    "workers.count": "4",
     "process.listen": '"10.0.0.4:3000"',
     "control.agent": '"unix:/run/cindersail/instances.sock"',
     "control.name": '"n3"',
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -52,6 +52,8 @@
             configuration.recall(self.manager)
         self.config = config = configuration.config
         self.stop = asyncio.Event()
+        self.serving = False  # it takes requests
+        self.on_ready: Callable[[], None] | None = None
         self.roster: Roster | None = None
         self.registrar: Registrar | None = None
         self.clock = clock = Clock()
@@ -118,6 +120,9 @@
             self.reload()
         if self.manager is not None:
             self.manager.start()
+        self.serving = True
+        if self.on_ready is not None:
+            self.on_ready()
         await self.stop.wait()
         await self._end()
 
@@ -213,13 +218,14 @@
 
     async def _end(self) -> None:
         log.info("%s drains", self.config.name)
+        alone = self.member is not None and self.member.alone  # others go on at the same address
         if self.registrar is not None:
-            await self.registrar.stop()
+            await self.registrar.stop(cancel=not alone)
         if self.manager is not None:
             self.manager.goodbye()
         classes = self.configuration.platform.settings.classes  # a call may be older than a change
         longest = max(c.deadline_ns for c in classes)
-        await self.frontend.drain(longest / SECOND + DRAIN_SPARE_S)
+        await self.frontend.drain(longest / SECOND + DRAIN_SPARE_S, accept=not alone)
         self.discovery.stop()
         if self.roster is not None:
             self.roster.stop()
