Run one sidecar as several workers under a supervisor, off by default

Need: one sidecar uses one core; the users plan for 3,180 requests a second and more. workers.count in the operators' own file starts a supervisor that binds the address and N whole sidecars that inherit the listener, each with its part of limits and budgets. Open ids are record locks on a file in memory; drains reach each worker by itself; to the agent all are one instance. Each hard case is brought about over processes (tests/workers, 35 tests); a first run found that a worker's start hung for good on an exception in its task, and a client's turn that failed kept all behind it from theirs: both end with that one now.

--- a/covetally/control/protocol.py
+++ b/covetally/control/protocol.py
@@ -46,10 +46,10 @@
     """The other side does not speak this protocol; the message says what came."""
 
 
-def encode(message: Message) -> bytes:
-    """One frame; ProtocolError if it would be over MAX_FRAME."""
+def encode(message: Message, limit: int = MAX_FRAME) -> bytes:
+    """One frame; ProtocolError if it would be over the limit."""
     body = json.dumps(message, separators=(",", ":")).encode()
-    if len(body) > MAX_FRAME:
+    if len(body) > limit:
         raise ProtocolError(f"a frame of {len(body)} bytes")
     return len(body).to_bytes(4, "big") + body
 
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -330,7 +330,11 @@
             newest = ahead <= 0.0 and self.sidecar.shedding and self._newest_first(turns)
             client = next(reversed(turns)) if newest else next(iter(turns))
             del turns[client]
-            client.go_on()
+            try:
+                client.go_on()
+            except Exception:  # a bug costs the connection at hand, and keeps no other from its turn
+                log.exception("a connection failed by a bug")
+                client.close()
             now = loop.time()
             ahead += now - at if newest else at - now
             at = now
--- a/covetally/workers/supervisor.py
+++ b/covetally/workers/supervisor.py
@@ -160,7 +160,16 @@
     def _spawn(self, number: int, place: int) -> None:
         task = asyncio.create_task(self._live(number, place))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda task: self._lived(number, task))
+
+    def _lived(self, number: int, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            log.error("a worker was lost by a bug", exc_info=error)
+            child = self._children.pop(number, None)
+            if child is not None and child.process.returncode is None:
+                child.process.kill()
+            self._do(self._crew.gone(self._now, number))
 
     async def _live(self, number: int, place: int) -> None:
         """A worker's life."""
--- /dev/null
+++ b/tests/workers/test_managed.py
@@ -0,0 +1,58 @@
+"""A sidecar of several workers is one instance to its agent."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.control.test_manager import managed
+
+WORKERS = "\n[workers]\ncount = 2\n"
+
+
+async def beat_with(agent, reader, count: int) -> dict:
+    """The first beat that tells of so many serving workers and no others."""
+    while True:
+        beat = await agent.read(reader, "beat")
+        if [w["state"] for w in beat["workers"]] == ["serving"] * count:
+            return beat
+
+
+async def ask(agent, reader, writer, what: str) -> dict:
+    agent.send(writer, t="ask", id=7, what=what)
+    return (await agent.read(reader, "answer"))["data"]
+
+
+def test_a_rollout_changes_the_number_of_workers_and_their_settings():
+    async def main():
+        async with managed(WORKERS) as (_, agent):
+            reader, writer, hello = await agent.link()
+            assert hello["name"] == "a0"
+            await beat_with(agent, reader, 2)
+            values = {"workers.count": 3, "limits.client_connections": 30}
+            assert (await agent.apply(reader, writer, 1, values))["outcome"] == "took"
+            beat = await beat_with(agent, reader, 3)
+            assert sorted(w["place"] for w in beat["workers"]) == [0, 1, 2]
+            found = await ask(agent, reader, writer, "snapshot")
+            assert found["limits"]["client_connections"][1] == 30, "their parts make the whole"
+            assert len(found["workers"]) == 3 and len({w["pid"] for w in found["workers"]}) == 3
+            assert {n["node"] for n in found["nodes"]} == {"n0", "n1"}
+            assert (await ask(agent, reader, writer, "roster"))["level"] == "direct"
+            assert any("is up" in line["text"] for line in await ask(agent, reader, writer, "logs"))
+            assert (await agent.apply(reader, writer, 2, {"workers.count": 1}))["outcome"] == "took"
+            beat = await beat_with(agent, reader, 1)
+            assert beat["deaths"] == 0
+            ack = await agent.apply(reader, writer, 3, {"workers.count": 0})
+            assert (ack["outcome"], ack["errors"][0]["key"]) == ("refused", "workers.count")
+
+    asyncio.run(main())
+
+
+def test_a_sidecar_without_a_supervisor_refuses_a_number_of_workers():
+    async def main():
+        async with managed() as (_, agent):
+            reader, writer, _ = await agent.link()
+            ack = await agent.apply(reader, writer, 1, {"workers.count": 2})
+            assert (ack["outcome"], ack["errors"][0]["key"]) == ("refused", "workers.count")
+            assert "supervisor" in ack["errors"][0]["reason"]
+
+    asyncio.run(main())
