--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -10,7 +10,7 @@
 import sys
 
 from benchmarks import path
-from benchmarks.path import WARM_S, Place, Sidecar, words
+from benchmarks.path import WARM_S, Place, Sidecar
 from benchmarks.report import progress, show
 
 COUNTS = (1, 2, 4)
@@ -57,8 +57,13 @@
                 busy = [(_busy_s(pid) - was) / seconds for pid, was in zip(pids, before, strict=True)]
                 await one.end()
                 best[count] = max(best.get(count, 0.0), got["rate"])
-                shares = ", ".join(f"{share:.0%}" for share in busy)
-                rows[f"{count} workers, turn {turn + 1}"] = text = f"{words(got)}; workers' cores {shares}"
+                each_us = sum(busy) / got["rate"] * 1e6
+                rows[f"{count} workers, turn {turn + 1}"] = text = (
+                    f"{got['rate']:.0f}/s, {each_us:.0f} us a request, p50 {got['p50']:.1f}, "
+                    f"p99 {got['p99']:.1f} ms, refused {got['refused']:.2%}, other {got['other']:.2%}; "
+                    "workers' cores "
+                    + ", ".join(f"{share:.0%}" for share in busy)
+                )
                 progress(f"{count} workers: {text}")
         for count in COUNTS[1:]:
             rows[f"{count} workers over one, best of each"] = f"{best[count] / best[1]:.2f}"
--- a/covetally/operator/check.py
+++ b/covetally/operator/check.py
@@ -131,6 +131,8 @@
         problems.append(Problem("roster.compare", other, reason, "set roster.source"))
     if other == source:
         problems.append(Problem("roster.compare", other, "is the source itself", "name another, or none"))
+    if "workers.hang_s" in flat:
+        missing("workers.hang_s", "workers.count")
     if "register.app" in flat:
         missing("register.app", "eureka.addresses")
         renew, lease = flat.get("register.renew_s", 30.0), flat.get("register.lease_s", 90.0)
