Give a place back when no socket can be made, and keep one truth for what was two

Cause: an attempt reserves a place among the connections to servers before it makes its socket; where none was to be had (EMFILE) the place was never given back, so after enough of those no server could be reached. Found on reading the change again; the test fails without it.

--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -46,8 +46,7 @@
 SHUN = 0.25  # failure average of a class on one server past which that server may be shunned for it
 TASTE = 1 / 32  # share of such calls that a shunned server gets all the same, to show that it is well again
 CUT = 0.6  # failure average past which a zone counts as cut off: three failed connections in a row
-MOST_TOKENS = 2.0 / RETRY_RATIO
-MOST_TRIALS = 2.0
+MOST_TOKENS, MOST_TRIALS = 2.0 / RETRY_RATIO, 2.0  # how many of each may be saved up
 TRIAL_RATIO = 0.1  # trials of servers at k = 0 earned by one request
 
 
@@ -148,9 +147,9 @@
         self._rng = random.Random(seed)
         self._random = self._rng.random
         self._acts: list[Action] = []
-        whole = max(FIGURE, SERVER / settings.replicas)
-        self._figure = whole * settings.part
-        self._steps = max(1, int(STEPS / whole))
+        self._whole = max(FIGURE, SERVER / settings.replicas)  # the figure of all that share the budgets
+        self._figure = self._whole * settings.part
+        self._steps = max(1, int(STEPS / self._whole))
         self._servers: dict[str, Server] = {}
         self._up: list[Server] = []
         self._room: list[Server] = []  # servers under budget, in no order that hashing could change
@@ -194,10 +193,11 @@
     def retune(self, settings: Settings) -> None:
         """Go on with other figures for the same classes. What was learned stays, as do open calls' deadlines."""
         self._set = settings
-        self._portion(max(FIGURE, SERVER / settings.replicas) * settings.part)
+        self._portion(self._whole * settings.part)
         self._horizon = max(c.deadline_ns for c in settings.classes)
         aim = min(c.aim_ns for c in settings.classes)
         self._pace = aim // 16  # how often held calls are looked at
+        self.old = aim // 4  # ages past this are refused under overload; see `glance`
         self._settle = 4 * aim  # queues come and go in a few times the aim
         self._memory = 8 * self._horizon
         self._cross, self._handshake = (settings.prices.get(name, 0.0) for name in ("crossZone", "handshake"))
@@ -294,7 +294,7 @@
         long any more. It ought to catch whatever makes this process slower than what comes: a smaller share of a
         core, dearer requests, crowds of connections. It could do harm where the ages are wrong.
         """
-        late = age > self._settle // 16
+        late = age > self.old
         if late:
             if now - self._late_at > self._settle // 4:  # an aim without one: the queue had gone
                 self._late_from = now
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -30,6 +30,7 @@
     RequestHead,
     encode,
     end_to_end,
+    joined,
 )
 from covetally.net.stream import Stream, tcp_info
 from covetally.net.upstream import Request
@@ -213,7 +214,6 @@
         self.heads = Heads(settings)
         self.budget.resize(body_memory)
         self._limit = limit
-        self._old_ns = min(c.aim_ns for c in settings.classes) // 4  # those that have lain so long are refused
         self._rest_limit = max(1, int(limit * REST_SHARE))
         self._burst = max(8, int(limit * ACCEPT_BURST))
 
@@ -346,9 +346,9 @@
 
         Refusing alone can take all there is, so the two get the same time, as long as there is one that need not
         be refused and none has waited for an aim: that one is owed an answer first."""
-        now = time.monotonic_ns()
+        now, old_ns = time.monotonic_ns(), self.sidecar.old_ns
         oldest, newest = next(iter(turns)).stream.received_at, next(reversed(turns)).stream.received_at
-        return now - newest < self._old_ns and now - oldest < 4 * self._old_ns
+        return now - newest < old_ns and now - oldest < 4 * old_ns
 
     # --- what connections tell ------------------------------------------------------------------
 
@@ -646,11 +646,7 @@
         if len(self._body) + len(part) > MAX_BODY:
             raise _Rejected(413, "body too long")
         self._hold.grow(len(part))
-        if not self._body:
-            self._body = part
-        else:
-            self._body = bytearray(self._body) if type(self._body) is bytes else self._body
-            self._body += part
+        self._body = joined(self._body, part)
 
     def _on_head(self, head: RequestHead) -> None:
         self._head = head
--- a/covetally/net/message.py
+++ b/covetally/net/message.py
@@ -95,6 +95,16 @@
     return b"\r\n".join([first, *lines, b"", body])
 
 
+def joined(body: bytes | bytearray, part: bytes) -> bytes | bytearray:
+    """A body with one more part. Nearly all have one only, which is not copied."""
+    if not body:
+        return part
+    if type(body) is bytes:
+        body = bytearray(body)
+    body += part
+    return body
+
+
 Role = type[httptools.HttpRequestParser] | type[httptools.HttpResponseParser]
 
 
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -122,6 +122,11 @@
         """Whether it is worth to ask `glance`."""
         return self._balancer.shedding
 
+    @property
+    def old_ns(self) -> int:
+        """What has waited for longer is refused while it sheds."""
+        return self._balancer.old
+
     def glance(self, age_ns: int, retry: bool) -> Answer | None:
         """The refusal for a request that has waited so long and need not be read, None if it is let in."""
         hold_off_ns = self._balancer.glance(self._clock.now(), age_ns, retry)
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -41,6 +41,16 @@
     return info[_STATE] == ESTABLISHED, lain_ns if lain_ns > 0 else 0
 
 
+def unconnected(address: tuple[str, int]) -> socket.socket:
+    """A socket for a connection to this address; OSError if there is none to be had."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    sock.setblocking(False)
+    # Without it the kernel keeps a last small piece back until what went before is acknowledged, which the peer
+    # may put off by 40 ms.
+    sock.setsockopt(_IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
 def unwanted() -> None:
     """The news of a stream that nobody holds any more."""
 
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -41,8 +41,9 @@
     Malformed,
     ResponseHead,
     end_to_end,
+    joined,
 )
-from covetally.net.stream import Stream, tcp_info, unwanted
+from covetally.net.stream import Stream, tcp_info, unconnected, unwanted
 from covetally.net.wheel import Timer
 
 log = logging.getLogger(__name__)
@@ -126,11 +127,11 @@
     """All servers by the name that the module uses; only here is it known where they listen."""
 
     def __init__(self, settings: Settings, load_fields: frozenset[str], clock: Clock, limit: int) -> None:
-        self.loop = self._loop = asyncio.get_running_loop()
+        self.loop = asyncio.get_running_loop()
         self._grace_s = settings.invariants.drain_grace_ns / 1e9 * DRAIN_MARGIN
         self._load_fields = load_fields
         self.clock = clock
-        self.wheel = self._wheel = clock.wheel
+        self.wheel = clock.wheel
         self._open = 0
         self._wary_until = 0.0
         self._servers: dict[str, _Server] = {}
@@ -180,8 +181,7 @@
     def _leave(self, server: _Server) -> None:
         self._close_resting(server)
         if server.leaving is None:
-            loop = asyncio.get_running_loop()
-            server.leaving = loop.call_later(self._grace_s, self._bar, server)
+            server.leaving = self.loop.call_later(self._grace_s, self._bar, server)
 
     def _bar(self, server: _Server) -> None:
         """A request still being written when the grace ends would be new to a server that wants none."""
@@ -204,30 +204,30 @@
 
     def keep(self, server: _Server, stream: Stream) -> None:
         """Take the connection of a finished exchange to rest, for less time than the server would."""
-        now = self._loop.time()
+        now = self.loop.time()
         server.resting[stream] = now
         stream.on_room = unwanted
         # Bytes that come now were asked for by nobody: they must never become the next request's answer.
         stream.on_news = partial(self._drop, server, stream)
         if server.sweep is None:
-            server.sweep = self._wheel.call_at(now + self._idle_s, partial(self._swept, server))
+            server.sweep = self.wheel.call_at(now + self._idle_s, partial(self._swept, server))
 
     def _swept(self, server: _Server) -> None:
         """Close what has rested its time, and come again for the next. One timer for all that rest there: one for
         each would be set and cancelled with every request."""
         server.sweep = None
-        now = self._loop.time()
+        now = self.loop.time()
         while server.resting:
             stream, since = next(iter(server.resting.items()))
             if since + self._idle_s > now:
-                server.sweep = self._wheel.call_at(since + self._idle_s, partial(self._swept, server))
+                server.sweep = self.wheel.call_at(since + self._idle_s, partial(self._swept, server))
                 return
             self._drop(server, stream)
 
     def take_rested(self, server: _Server) -> tuple[Stream, float] | None:
         """The connection in order that rested least of those that have settled, and for how long it did; where
         none has settled, the one that is nearest to it."""
-        resting, now = server.resting, self._loop.time()
+        resting, now = server.resting, self.loop.time()
         while resting:
             settled_at = now - SETTLE_S
             stream = next(iter(resting))
@@ -260,7 +260,7 @@
 
     def broke(self) -> None:
         """A kept connection broke when it was used again: trust none of them for a while."""
-        self._wary_until = self._loop.time() + WARY_S
+        self._wary_until = self.loop.time() + WARY_S
 
     def hold_back_s(self, rest_s: float) -> float:
         """How long the last byte of a request waits for a sign that its kept connection is dead.
@@ -272,7 +272,7 @@
         """
         if rest_s >= REST_AGED_S:
             return HOLD_BACK_S
-        return WARY_HOLD_BACK_S if self._loop.time() < self._wary_until else 0.0
+        return WARY_HOLD_BACK_S if self.loop.time() < self._wary_until else 0.0
 
     # --- attempts -------------------------------------------------------------------------------
 
@@ -376,20 +376,17 @@
             self._end(How.MOOT)  # it says nothing of the server
             return
         try:
-            self._socket = sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-            sock.setblocking(False)
-            # Without it the kernel keeps a last small piece back until what went before is acknowledged, which
-            # the peer may put off by 40 ms.
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            error = sock.connect_ex(address)
-        except OSError as failure:
-            error = failure.errno or errno.EIO
+            self._socket = sock = unconnected(address)
+        except OSError:  # there is no descriptor left
+            owner.release()
+            self._end(How.CONNECT_FAILED)
+            return
+        error = sock.connect_ex(address)
         if error == errno.EINPROGRESS:
             owner.loop.add_writer(sock.fileno(), self._connected)
             due = owner.loop.time() + owner.connect_timeout_s
             self._pause = owner.wheel.call_at(due, self._no_connection)
         elif error:
-            self._drop()
             self._end(How.CONNECT_FAILED)
         else:
             self._up()
@@ -399,7 +396,6 @@
         sock = self._socket
         assert sock is not None
         if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self._drop()
             self._end(How.CONNECT_FAILED)
             return
         self._owner.loop.remove_writer(sock.fileno())
@@ -414,9 +410,7 @@
 
     def _no_connection(self) -> None:
         """The time for a connection is over. One that the kernel has up is no fault of the server's."""
-        how = How.MOOT if self._came_up() else How.CONNECT_FAILED
-        self._drop()
-        self._end(how)
+        self._end(How.MOOT if self._came_up() else How.CONNECT_FAILED)
 
     def _came_up(self) -> bool:
         return self._socket is not None and tcp_info(self._socket)[0]
@@ -531,11 +525,7 @@
             self._end(How.RESET)
 
     def _on_body(self, part: bytes) -> None:
-        if not self._body:
-            self._body = part
-        else:
-            self._body = bytearray(self._body) if type(self._body) is bytes else self._body
-            self._body += part
+        self._body = joined(self._body, part)
         if len(self._body) > MAX_BODY:
             raise Malformed("answer too long")
 
--- a/covetally/net/waiting.py
+++ b/covetally/net/waiting.py
@@ -8,7 +8,7 @@
 import httptools
 
 from covetally.net.message import Broken, Event
-from covetally.net.stream import Stream
+from covetally.net.stream import Stream, unconnected
 
 
 class Waiting:
@@ -21,10 +21,8 @@
     @classmethod
     async def connect(cls, address: tuple[str, int]) -> Waiting:
         """A new connection; OSError when it does not come up."""
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        sock = unconnected(address)
         try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await asyncio.get_running_loop().sock_connect(sock, address)
         except BaseException:
             sock.close()
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 
 import httptools
@@ -284,6 +285,27 @@
     asyncio.run(main())
 
 
+def test_a_socket_that_cannot_be_made_holds_no_place(monkeypatch):
+    """Places were lost one by one while there were no descriptors, and in the end no server could be reached."""
+
+    async def main():
+        async with place(fine, sockets=2) as here:
+            reader, writer = await here.connect()
+
+            def none(*_):
+                raise OSError(errno.EMFILE, "no descriptor left")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(socket, "socket", none)
+                for trace in ("a", "b", "c"):
+                    writer.write(request(trace, cls="pay"))
+                    assert b" 503 " in await read_message(reader), "it never ran"
+            assert here.upstream._open == 0
+            writer.close()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     "load",
     [
