Let process and supervisor share what both need, and undo their circle

Reading again: both made their manager, their reload and their drain's length by the same lines, a default stood in two places, and process.py and workers/ imported each other. serve() is in __main__.py, a worker's share is a protocol, the rest one function or property each. Behaviour as before: the same tests, unchanged.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -23,16 +23,22 @@
 PARTS_SHOWN = 16
 
 
-def _pin(pid: int, *cores: int) -> None:
+def pin(pid: int, *cores: int) -> None:
+    """Keep a process on these cores, where the machine has them."""
     if (os.cpu_count() or 1) > max(cores):
         os.sched_setaffinity(pid, cores)
 
 
+def cpu_s(pid: int) -> float:
+    """CPU time of a process so far, s."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
 def _times(pid: int) -> tuple[float, float]:
     """User and system time of a process, s. The kernel counts ticks of 10 ms; its total is exact to the ns."""
     parts = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     user, system = int(parts[11]), int(parts[12])
-    total = int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    total = cpu_s(pid)
     share = user / max(1, user + system)
     return total * share, total * (1 - share)
 
@@ -59,7 +65,7 @@
         for number, core in enumerate(NODE_CORES):
             count = self._nodes // 2 + (self._nodes % 2 if number else 0)
             process = await _start(sys.executable, "-m", "benchmarks.quick", "nodes", str(count))
-            _pin(process.pid, core)
+            pin(process.pid, core)
             self._processes.append(process)
             assert process.stdout is not None
             self.ports += json.loads(await process.stdout.readline())
@@ -104,7 +110,7 @@
         with log.open("wb") as file:
             process = await _start(sys.executable, "-m", *words, env=env, cwd=tree or Path.cwd(), stderr=file)
         self._processes.append(process)
-        _pin(process.pid, SIDECAR_CORE)
+        pin(process.pid, SIDECAR_CORE)
         await _ready(address)
         return Sidecar(process, address, tree, log)
 
@@ -112,7 +118,7 @@
         """A bare relay to one node, in the sidecar's place."""
         target = f"127.0.0.1:{self.ports[0]}"
         process = await _start(sys.executable, "-m", "benchmarks.quick", "relay", target)
-        _pin(process.pid, SIDECAR_CORE)
+        pin(process.pid, SIDECAR_CORE)
         self._processes.append(process)
         assert process.stdout is not None
         port = json.loads(await process.stdout.readline())[0]
@@ -155,7 +161,7 @@
         askers = []
         for number in range(clients):
             asker = await _start(sys.executable, *words)
-            _pin(asker.pid, CLIENT_CORES[number % len(CLIENT_CORES)])
+            pin(asker.pid, CLIENT_CORES[number % len(CLIENT_CORES)])
             askers.append(asker)
         rows = [json.loads((await asker.communicate())[0]) for asker in askers]
         after = _times(self.process.pid)
--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -5,12 +5,11 @@
 
 import argparse
 import asyncio
-import os
 import re
 import sys
 
 from benchmarks import path
-from benchmarks.path import WARM_S, Place, Sidecar
+from benchmarks.path import WARM_S, Place, Sidecar, cpu_s, pin
 from benchmarks.report import progress, show
 
 COUNTS = (1, 2, 4)
@@ -29,16 +28,10 @@
             await asyncio.sleep(0.05)
     pids = [int(pid) for pid in found]
     for pid, core in zip(pids, WORKER_CORES, strict=False):
-        if (os.cpu_count() or 1) > core:
-            os.sched_setaffinity(pid, {core})
+        pin(pid, core)
     return pids
 
 
-def _busy_s(pid: int) -> float:
-    with open(f"/proc/{pid}/schedstat", encoding="ascii") as file:
-        return int(file.read().split()[0]) / 1e9
-
-
 async def measure(seconds: float, turns: int) -> dict[str, object]:
     """The figures."""
     path.NODE_CORES, path.CLIENT_CORES = NODE_CORES, CLIENT_CORES
@@ -52,9 +45,9 @@
                 one = await place.sidecar(arguments=("--operator", str(operator)))
                 pids = await _workers(one, count)
                 await one.ask(300, WARM_S, 15)
-                before = [_busy_s(pid) for pid in pids]
+                before = [cpu_s(pid) for pid in pids]
                 got = await one.ask(0, seconds, CONNECTIONS, kind="burst", clients=3)
-                busy = [(_busy_s(pid) - was) / seconds for pid, was in zip(pids, before, strict=True)]
+                busy = [(cpu_s(pid) - was) / seconds for pid, was in zip(pids, before, strict=True)]
                 await one.end()
                 best[count] = max(best.get(count, 0.0), got["rate"])
                 each_us = sum(busy) / got["rate"] * 1e6
--- a/covetally/__main__.py
+++ b/covetally/__main__.py
@@ -6,9 +6,10 @@
 import os
 import sys
 
+from covetally.configuration import Configuration
 from covetally.logs import set_up
 from covetally.net.config import ConfigError
-from covetally.process import serve
+from covetally.process import Process
 
 
 def operator_file(arguments: list[str]) -> str | None:
@@ -21,6 +22,17 @@
     raise ConfigError("usage: covetally [--operator FILE]")
 
 
+async def serve(operator: str | None) -> None:
+    """Run one sidecar until it is told to end; ConfigError if it cannot be started."""
+    configuration = Configuration(os.environ, operator)
+    if "workers.count" in configuration.own:
+        from covetally.workers.supervisor import Supervisor
+
+        await Supervisor(configuration, operator).run()
+    else:
+        await Process(configuration).run()
+
+
 def main() -> int:
     """Entry point of `python -m covetally`."""
     set_up()
--- a/covetally/configuration.py
+++ b/covetally/configuration.py
@@ -11,17 +11,19 @@
 from dataclasses import fields, replace
 from typing import TYPE_CHECKING, Protocol
 
+from covetally.interface import SECOND
 from covetally.net.config import Config, ConfigError, load
 
 if TYPE_CHECKING:
     from covetally.membership.settings import Plan
     from covetally.operator.schema import Values
-    from covetally.workers.member import Member
 
 log = logging.getLogger("covetally")
 
 FIXED = ("name", "listen", "peer_listen", "sockets", "memory", "load_fields", "backlog")  # until a restart
 assert set(FIXED) <= {f.name for f in fields(Config)}
+DRAIN_SPARE_S = 0.5  # SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM
+NO_ROSTER = "roster.source is not set: the platform's list is believed at once"
 
 
 class Memory(Protocol):
@@ -34,6 +36,16 @@
         """That cannot be used: what to start with instead."""
 
 
+class Shape(Protocol):
+    """What a process is to have of the configuration."""
+
+    def config(self, whole: Config) -> Config:
+        """The configuration as it holds here."""
+
+    def own(self, values: Values) -> Values:
+        """The operators' settings as they hold here."""
+
+
 class Whole:
     """What a process is to have of the configuration where it is the whole sidecar: all of it."""
 
@@ -51,7 +63,7 @@
     layer changes nothing. `shape` makes of the whole what this process is to have of it: a worker, its share."""
 
     def __init__(
-        self, env: Mapping[str, str], operator: str | None, shape: Whole | Member | None = None
+        self, env: Mapping[str, str], operator: str | None, shape: Shape | None = None
     ) -> None:
         self._env, self._operator, self._shape = env, operator, shape or Whole()
         self.platform = load(env)
@@ -79,8 +91,21 @@
         """What the operators want of membership; None where the platform's list is believed at once."""
         return _plan(self.values)
 
-    def reread(self) -> None:
-        """Read both files again; ConfigError, and nothing changed, if they cannot be used."""
+    @property
+    def drain_s(self) -> float:
+        """How long a drain may take: a call may be older than a change of its class's deadline."""
+        return max(c.deadline_ns for c in self.platform.settings.classes) / SECOND + DRAIN_SPARE_S
+
+    def reload(self) -> bool:
+        """Read both files again; False, and nothing changed, if they cannot be used."""
+        try:
+            self._reread()
+        except ConfigError as error:
+            log.error("reload: %s: the old configuration stays", error)
+            return False
+        return True
+
+    def _reread(self) -> None:
         platform, own = load(self._env), self._unmoved(self._read_operator())
         if platform.settings != self.platform.settings:
             log.warning("reload: settings has changed, which takes a restart")
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -9,17 +9,17 @@
 import asyncio
 import gc
 import logging
-import os
 import signal
+import socket
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
-from covetally.configuration import Configuration
-from covetally.interface import SECOND, Directory
+from covetally.configuration import NO_ROSTER, Configuration
+from covetally.interface import Directory
 from covetally.net.clock import Clock
 from covetally.net.config import ConfigError
 from covetally.net.discovery import Discovery, ListError, News, read_list
-from covetally.net.frontend import Frontend, bound
+from covetally.net.frontend import Claims, Frontend, bound
 from covetally.net.peers import Peers
 from covetally.net.sidecar import Sidecar
 from covetally.net.upstream import Upstream
@@ -29,13 +29,30 @@
     from covetally.membership.roster import Roster
     from covetally.membership.settings import Plan
     from covetally.control.gauges import Gauges
+    from covetally.control.instance import Instance
     from covetally.control.manager import Manager
     from covetally.operator.schema import Values
-    from covetally.workers.member import Member
 
 log = logging.getLogger("covetally")
 
-DRAIN_SPARE_S = 0.5  # SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM
+
+class Member(Protocol):
+    """What a worker has in common with others at its address."""
+
+    listener: socket.socket
+    claims: Claims
+    alone: bool  # it ends, and the others go on
+
+
+def manager_of(instance: Instance) -> Manager | None:
+    """What manages an instance, if its own file names an agent; what that had set is in force from here on."""
+    if "control.agent" not in instance.configuration.own:
+        return None
+    from covetally.control.manager import Manager
+
+    manager = Manager(instance)
+    instance.configuration.recall(manager)
+    return manager
 
 
 class Process:
@@ -44,12 +61,7 @@
     def __init__(self, configuration: Configuration, member: Member | None = None) -> None:
         self.configuration = configuration
         self.member = member
-        self.manager: Manager | None = None
-        if "control.agent" in configuration.own and member is None:
-            from covetally.control.manager import Manager
-
-            self.manager = Manager(self)
-            configuration.recall(self.manager)
+        self.manager = manager_of(self) if member is None else None
         self.config = config = configuration.config
         self.stop = asyncio.Event()
         self.serving = False  # it takes requests
@@ -95,7 +107,7 @@
     def order(self, what: str) -> str:
         """An order to the roster; empty, or why not."""
         if self.roster is None:
-            return "roster.source is not set: the platform's list is believed at once"
+            return NO_ROSTER
         self.roster.order(what)
         return ""
 
@@ -223,9 +235,7 @@
             await self.registrar.stop(cancel=not alone)
         if self.manager is not None:
             self.manager.goodbye()
-        classes = self.configuration.platform.settings.classes  # a call may be older than a change
-        longest = max(c.deadline_ns for c in classes)
-        await self.frontend.drain(longest / SECOND + DRAIN_SPARE_S, accept=not alone)
+        await self.frontend.drain(self.configuration.drain_s, accept=not alone)
         self.discovery.stop()
         if self.roster is not None:
             self.roster.stop()
@@ -238,13 +248,9 @@
 
     def reload(self) -> None:
         """Take up what may change while requests are under way; a bad configuration changes nothing."""
-        try:
-            self.configuration.reread()
-        except ConfigError as error:
-            log.error("reload: %s: the old configuration stays", error)
-            return
-        self._adopt()
-        log.info("%s has taken up its configuration anew", self.config.name)
+        if self.configuration.reload():
+            self._adopt()
+            log.info("%s has taken up its configuration anew", self.config.name)
 
     def reshape(self) -> None:
         """This worker's share of the whole has changed."""
@@ -271,14 +277,3 @@
         await listen()
     except OSError as error:
         raise ConfigError(f"{key}: {error}") from None
-
-
-async def serve(operator: str | None) -> None:
-    """Run one sidecar until it is told to end; ConfigError if it cannot be started."""
-    configuration = Configuration(os.environ, operator)
-    if "workers.count" in configuration.own:
-        from covetally.workers.supervisor import Supervisor
-
-        await Supervisor(configuration, operator).run()
-    else:
-        await Process(configuration).run()
--- a/covetally/workers/crew.py
+++ b/covetally/workers/crew.py
@@ -25,6 +25,7 @@
 PAUSE_S = 0.5  # before the next start then; doubled each time,
 MAX_PAUSE_S = 15.0  # up to this
 START_S = 20.0  # to be ready
+HANG_S = 5.0  # a worker that says nothing for so long hangs, unless workers.hang_s says otherwise
 
 
 class State(enum.Enum):
--- a/covetally/workers/member.py
+++ b/covetally/workers/member.py
@@ -24,7 +24,7 @@
 from covetally.process import Process
 from covetally.workers.channel import Channel
 from covetally.workers.claims import SharedIds
-from covetally.workers.crew import part
+from covetally.workers.crew import HANG_S, part
 
 if TYPE_CHECKING:
     from covetally.operator.schema import Values
@@ -107,7 +107,7 @@
     def _beat(self) -> None:
         assert self._process is not None
         self._channel.send("alive", beat=self._gauges.beat())
-        every_s = float(self._process.values.get("workers.hang_s", 5.0)) / BEATS
+        every_s = float(self._process.values.get("workers.hang_s", HANG_S)) / BEATS
         asyncio.get_running_loop().call_later(every_s, self._beat)
 
     def _orphaned(self) -> None:
--- a/covetally/workers/supervisor.py
+++ b/covetally/workers/supervisor.py
@@ -18,20 +18,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from covetally.configuration import Configuration
+from covetally.configuration import NO_ROSTER, Configuration
 from covetally.control.gauges import Ring
 from covetally.control.protocol import Message
-from covetally.interface import SECOND
 from covetally.net.config import ConfigError
 from covetally.net.frontend import bound
-from covetally.process import DRAIN_SPARE_S
+from covetally.process import manager_of
 from covetally.workers import merge
 from covetally.workers.channel import Channel
 from covetally.workers.claims import SharedIds
-from covetally.workers.crew import Crew, End, Kill, Order, Share, Start
+from covetally.workers.crew import HANG_S, Crew, End, Kill, Order, Share, Start, State
 
 if TYPE_CHECKING:
-    from covetally.control.manager import Manager
     from covetally.operator.schema import Values
 
 log = logging.getLogger("covetally")
@@ -56,15 +54,8 @@
 
     def __init__(self, configuration: Configuration, operator: str | None) -> None:
         self.configuration, self._operator = configuration, operator
-        self.manager: Manager | None = None
-        if "control.agent" in configuration.own:
-            from covetally.control.manager import Manager
-
-            self.manager = Manager(self)
-            configuration.recall(self.manager)
-        longest = max(c.deadline_ns for c in configuration.platform.settings.classes)
-        end_s = longest / SECOND + DRAIN_SPARE_S + END_SPARE_S
-        self._crew = Crew(self._count(), self._hang_s(), end_s)
+        self.manager = manager_of(self)
+        self._crew = Crew(self._count(), self._hang_s(), configuration.drain_s + END_SPARE_S)
         self._children: dict[int, _Child] = {}
         self.tally = merge.Tally()
         self._resting = False
@@ -82,7 +73,7 @@
         return int(self.configuration.values["workers.count"])
 
     def _hang_s(self) -> float:
-        return float(self.configuration.values.get("workers.hang_s", 5.0))
+        return float(self.configuration.values.get("workers.hang_s", HANG_S))
 
     @property
     def _now(self) -> float:
@@ -202,7 +193,7 @@
         channel.close()
         self.tally.book(self._children.pop(number).beat)
         worker = self._crew.workers.get(number)
-        if worker is None or worker.state.value != "ending" or status:
+        if worker is None or worker.state is not State.ENDING or status:
             log.error("worker %d (pid %d) ended with status %d", child.place, process.pid, status)
         self._do(self._crew.gone(self._now, number))
 
@@ -248,14 +239,10 @@
 
     def reload(self) -> None:
         """Read the files again; a bad configuration changes nothing, here or in any worker."""
-        try:
-            self.configuration.reread()
-        except ConfigError as error:
-            log.error("reload: %s: the old configuration stays", error)
-            return
-        self._tell("reload")
-        self._resize()
-        log.info("%s has taken up its configuration anew", self.configuration.config.name)
+        if self.configuration.reload():
+            self._tell("reload")
+            self._resize()
+            log.info("%s has taken up its configuration anew", self.configuration.config.name)
 
     def _resize(self) -> None:
         self._crew.hang_s = self._hang_s()
@@ -295,7 +282,7 @@
     def order(self, what: str) -> str:
         """An order to the roster of each worker."""
         if self.configuration.values.get("roster.source", "off") == "off":
-            return "roster.source is not set: the platform's list is believed at once"
+            return NO_ROSTER
         self._tell("order", what=what)
         return ""
 
