Tell sockets' news without asyncio's queue, and measure new connections and crowds

net/loop.py is asyncio's loop with add_reader and add_writer kept in one small object a descriptor, called as the kernel tells: no handle, no key, no turn in the queue. An answer's head with a length goes through one pass, not four; a refusal at a glance is written from a cache, its check is one expression.

The test of a worker without descriptors left it one in a gap; it was closed unread as another came.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -20,6 +20,7 @@
 
 SIDECAR_CORE, NODE_CORES, CLIENT_CORES = 2, (3, 4), (5, 6, 7)
 WARM_S = 1.0
+NEW_RATE = 600.0  # requests/s on new connections, of each of two sidecars on one core
 PARTS_SHOWN = 16
 
 
@@ -222,6 +223,7 @@
                     )
                     progress(f"{nodes} nodes, {label}turn {turn + 1}: {got['us']:.0f} us, relay {bare['us']:.0f}")
                     await several[label].end()
+                await _new_connections(place, trees, seconds, f"{nodes} nodes, turn {turn + 1}, ", rows)
             for label, tree in trees.items():
                 one = await place.sidecar(tree)
                 await one.ask(300, WARM_S, 15)
@@ -235,6 +237,22 @@
     return rows
 
 
+async def _new_connections(
+    place: Place, trees: dict[str, Path | None], seconds: float, where: str, rows: dict[str, object]
+) -> None:
+    """What a request on a connection of its own costs: all trees at once, at a rate that each can carry."""
+    several = {label: await place.sidecar(tree) for label, tree in trees.items()}
+    for one in several.values():
+        await one.ask(300, WARM_S, 15)
+    found = await asyncio.gather(
+        *(one.ask(NEW_RATE, seconds, 96, kind="new", clients=1) for one in several.values())
+    )
+    for label, got in zip(several, found, strict=True):
+        rows[f"{where}{label}a new connection for each, {NEW_RATE:g}/s"] = words(got)
+        progress(f"{where}{label}new connections: {words(got)}")
+        await several[label].end()
+
+
 async def breakdown(seconds: float, nodes: int) -> dict[str, object]:
     """Where the CPU goes, by samples, with 16 kept connections."""
     rows: dict[str, object] = {}
--- a/benchmarks/quick.py
+++ b/benchmarks/quick.py
@@ -3,12 +3,14 @@
     python -m benchmarks.quick nodes COUNT          # nodes that answer each request at once with 200 bytes
     python -m benchmarks.quick relay HOST:PORT      # a bare byte relay to one node, in plain asyncio
     python -m benchmarks.quick ask HOST:PORT RATE SECONDS CONNECTIONS METHOD KIND
+    python -m benchmarks.quick leave HOST:PORT RATE SECONDS     # connects and leaves so often a second
 
 The first two print the ports they listen at as JSON and run until their input ends. `ask` asks in an open loop
 at RATE a second, at times drawn ahead; with KIND kept on CONNECTIONS connections, with new on one for each
 request, with burst as fast as each of CONNECTIONS is answered. A request whose time comes while all connections
 are busy waits for one, for PATIENCE_S as a pool of connections would have it, and is given up then ("no
-connection"); its time counts from when it was due. It prints one row of JSON.
+connection"); its time counts from when it was due. `leave` goes, in turn, without a word, in the middle of a
+request, after a whole one, and by a reset. Both print one row of JSON.
 """
 
 from __future__ import annotations
@@ -18,6 +20,8 @@
 import json
 import os
 import random
+import socket
+import struct
 import sys
 import time
 from collections import Counter, deque
@@ -237,6 +241,32 @@
     }))  # fmt: skip
 
 
+def _leave(address: tuple[str, int], rate: float, seconds: float) -> None:
+    whole = _Asker(address, "GET", "new", 1)
+    reset = struct.pack("ii", 1, 0)
+    start = time.monotonic()
+    count = failed = 0
+    while (now := time.monotonic()) < start + seconds:
+        if count > (now - start) * rate:
+            time.sleep(0.0005)
+            continue
+        sock = socket.socket()
+        # An address of its own for each few: one has no more than 28,000 ports to come from.
+        sock.bind((f"127.0.{1 + count % 200}.1", 0))
+        sock.settimeout(1.0)
+        try:
+            sock.connect(address)
+            if count % 4:
+                sock.send(whole.request()[: 40 if count % 4 == 1 else None])
+            if count % 4 == 3:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        except OSError:
+            failed += 1
+        sock.close()
+        count += 1
+    print(json.dumps({"left": count, "failed": failed, "rate": round(count / (time.monotonic() - start))}))
+
+
 async def _serve(make: Any, count: int) -> None:
     loop = asyncio.get_running_loop()
     servers = [await loop.create_server(make, "127.0.0.1", 0, backlog=4096) for _ in range(count)]
@@ -258,6 +288,8 @@
             asyncio.run(_serve(lambda: _Relay(_address(target)), 1))
         case ["ask", where, rate, seconds, connections, method, kind]:
             asyncio.run(_ask(_address(where), float(rate), float(seconds), int(connections), method, kind))
+        case ["leave", where, rate, seconds]:
+            _leave(_address(where), float(rate), float(seconds))
         case _:
             sys.exit(__doc__)
 
--- a/benchmarks/sampled.py
+++ b/benchmarks/sampled.py
@@ -35,6 +35,7 @@
     ("net/frontend.py", (), "request"),
     ("net/wheel.py", (), "timers"),
     ("selectors.py", (), "waiting and waking"),
+    ("net/loop.py", (), "waiting and waking"),
     ("asyncio/", (), "event loop"),
 )  # fmt: skip
 
--- a/covetally/__main__.py
+++ b/covetally/__main__.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import sys
 
 from covetally.configuration import Configuration
 from covetally.logs import set_up
 from covetally.net.config import ConfigError
+from covetally.net.loop import run
 from covetally.process import Process
 
 
@@ -37,7 +37,7 @@
     """Entry point of `python -m covetally`."""
     set_up()
     try:
-        asyncio.run(serve(operator_file(sys.argv[1:])))
+        run(serve(operator_file(sys.argv[1:])))
     except ConfigError as error:
         print(f"covetally: {error}", file=sys.stderr)
         return 2
--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -267,14 +267,19 @@
         else:
             number, cls = 0, replace(classes[0], repeat="single_shot")  # repeating may be harmful
         size = float(event.cost_ns) or self._unit[number]
-        call = Call(event, cls, number, now, self._first_try(now - event.age_ns, event, cls), size)
+        came = now - event.age_ns
+        again = event.retry if self._set.marks_retry else event.key or event.cost_ns
+        call = Call(event, cls, number, now, self._first_try(came, event, cls) if again else came, size)
         self._calls[event.tid] = call
         self._size += (size - self._size) * GAIN / 16
         self._count(now, event.key if self._set.warm_keys else "")
         if now >= call.aim_at and not cls.late_worth:
             # Exception "late retry": its first try's aim has passed; work for it would earn nothing.
             self._end(now, call, self._set.limits.max_retry_after_ns)
-        elif not event.let_in and (hold_off := self.glance(now, event.age_ns, False)):
+        elif (
+            not event.let_in and (self.shedding or event.age_ns > self.old)
+            and (hold_off := self.glance(now, event.age_ns, False))
+        ):  # fmt: skip
             self._end(now, call, hold_off)
         elif self._held:
             self._hold(now, call)  # arrival order: nobody overtakes a waiting call
@@ -307,9 +312,8 @@
         return max(1, self._set.limits.max_retry_after_ns)
 
     def _first_try(self, now: int, event: Accept, cls: RequestClass) -> int:
-        """When the client first asked: its retries bear new ids, but look like a call that ended unserved."""
-        if not (event.retry if self._set.marks_retry else event.key or event.cost_ns):
-            return now
+        """When the client first asked for what may be a retry: new ids, but the looks of a call that ended
+        unserved."""
         first = self._unserved.pop((event.cls, event.tenant, event.key, event.cost_ns), now)
         return first if now - first < cls.deadline_ns else now
 
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -66,8 +66,10 @@
         self.status = status
 
 
-PLAIN = re.compile(rb"get /(?!_health)[!-~]* http/1\.1\r\n(?:[!#$%&'*+.^_`|~0-9a-z-]+:[ -~]*\r\n)+\r\n")
-NOT_PLAIN = (b"\r\ncontent-length", b"\r\ntransfer-encoding", b"\r\nexpect", b"\r\nconnection", b"\r\nupgrade")
+PLAIN = re.compile(  # one whole request without a body that lets the connection be, in lower case
+    rb"get /(?!_health)[!-~]* http/1\.1\r\n"
+    rb"(?:(?!content-length|transfer-encoding|expect|connection|upgrade)[!#$%&'*+.^_`|~0-9a-z-]+:[ -~]*\r\n)+\r\n"
+)
 _FRAMING = (b"content-length", b"transfer-encoding")
 _TRACE_ID = re.compile(rb"[!-~]{1,128}").fullmatch
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,18})?").fullmatch
@@ -597,11 +599,11 @@
         else is read as ever."""
         data = self.stream.peek()
         low = data.lower()
-        if not PLAIN.fullmatch(low) or any(word in low for word in NOT_PLAIN):
+        if not PLAIN.fullmatch(low):
             return False
         age_ns = time.monotonic_ns() - self.stream.received_at
-        answer = self._frontend.sidecar.glance(age_ns, b"\r\nx-second-try: 1\r\n" in low)
-        if answer is None or self._frontend.draining:
+        refusal = self._frontend.sidecar.glance(age_ns, b"\r\nx-second-try: 1\r\n" in low)
+        if not refusal or self._frontend.draining:
             self._let_in = True
             return False
         self.stream.drop()
@@ -609,8 +611,7 @@
         self._frontend.shed += 1
         self._frontend.busy(self)
         self._phase, self._last = WRITING, False
-        headers = [*answer.headers, (b"content-length", b"0")]
-        self._send(encode(b"HTTP/1.1 %d " % answer.status, headers, b""))
+        self._send(refusal)
         return True
 
     def _room(self) -> None:
--- a/covetally/net/message.py
+++ b/covetally/net/message.py
@@ -19,6 +19,7 @@
     b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer "
     b"transfer-encoding upgrade expect content-length".split()
 )
+_NAMED = HOP_BY_HOP - {b"content-length"}
 
 
 class Broken(ConnectionError):
@@ -70,8 +71,10 @@
 
 def end_to_end(headers: Headers, fields: Fields) -> Headers:
     """The headers that are meant for the far end; framing is each connection's own."""
-    if HOP_BY_HOP.isdisjoint(fields):
-        return headers
+    if _NAMED.isdisjoint(fields):  # as nearly all: at most a length, and nothing for this hop by name
+        if b"content-length" not in fields:
+            return headers
+        return [pair for pair in headers if pair[0] != b"content-length"]
     kept = [pair for pair in headers if pair[0] not in HOP_BY_HOP]
     named = [value for name, value in headers if name == b"connection"]
     more = {name.strip().lower() for name in b",".join(named).split(b",")}
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -9,7 +9,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import partial
+from functools import lru_cache, partial
 from typing import NamedTuple, Protocol
 
 from covetally.balance import Balancer
@@ -35,7 +35,7 @@
     Suspect,
 )
 from covetally.net.clock import Clock
-from covetally.net.message import Answer
+from covetally.net.message import Answer, encode
 from covetally.net.upstream import Attempt, Outcome, Request, Upstream
 from covetally.net.wheel import Timer
 
@@ -127,10 +127,11 @@
         """What has waited for longer is refused while it sheds."""
         return self._balancer.old
 
-    def glance(self, age_ns: int, retry: bool) -> Answer | None:
-        """The refusal for a request that has waited so long and need not be read, None if it is let in."""
+    def glance(self, age_ns: int, retry: bool) -> bytes:
+        """The refusal, on the wire, for a request that has waited so long and need not be read; empty if it is
+        let in."""
         hold_off_ns = self._balancer.glance(self._clock.now(), age_ns, retry)
-        return _refusal(hold_off_ns) if hold_off_ns else None
+        return _refused(hold_off_ns) if hold_off_ns else b""
 
     def take(self, exchange: Exchange, arrival: Arrival, age_ns: int = 0, let_in: bool = False) -> str:
         """A client's request is whole, and has been for so long: an answer is owed from now on. Returns the id
@@ -273,5 +274,11 @@
             self._calls.pop(tid, None)
 
 
+@lru_cache(maxsize=64)
+def _refused(hold_off_ns: int) -> bytes:
+    answer = _refusal(hold_off_ns)
+    return encode(b"HTTP/1.1 %d " % answer.status, [*answer.headers, (b"content-length", b"0")], b"")
+
+
 def _refusal(hold_off_ns: int) -> Answer:
     return Answer(503, [(b"retry-after", b"%.3f" % (hold_off_ns / 1e9))] if hold_off_ns > 0 else [])
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -108,7 +108,10 @@
             else:
                 self.eof = True
                 self._loop.remove_reader(self._fd)  # it would be readable for ever
-        self._call(self.on_news)
+        try:
+            self.on_news()
+        except Exception:
+            self._failed(self.on_news)
 
     def _writable(self) -> None:
         try:
@@ -117,20 +120,23 @@
             return
         except OSError:
             self.abort()
-            self._call(self.on_news)
-            return
-        if not self._out:
+            told = self.on_news
+        else:
+            if self._out:
+                return
             self._loop.remove_writer(self._fd)
-            self._call(self.on_room)
-
-    def _call(self, told: Callable[[], None]) -> None:
+            told = self.on_room
         try:
             told()
-        except Exception:  # a bug costs the connection at hand, never the process
-            log.exception("a connection failed by a bug")
-            if not self.lost:
-                self.abort()
-                told()
+        except Exception:
+            self._failed(told)
+
+    def _failed(self, told: Callable[[], None]) -> None:
+        """A bug costs the connection at hand, never the process."""
+        log.exception("a connection failed by a bug")
+        if not self.lost:
+            self.abort()
+            told()
 
     # --- reading --------------------------------------------------------------------------------
 
--- a/covetally/workers/member.py
+++ b/covetally/workers/member.py
@@ -21,6 +21,7 @@
 from covetally.control.protocol import Message
 from covetally.logs import set_up
 from covetally.net.config import Config, ConfigError
+from covetally.net.loop import run
 from covetally.process import Process
 from covetally.workers.channel import Channel
 from covetally.workers.claims import SharedIds
@@ -173,7 +174,7 @@
     """Exit status: 0 after an end in good order, 2 if it cannot be configured."""
     set_up()
     try:
-        asyncio.run(_run(sys.argv[1:]))
+        run(_run(sys.argv[1:]))
     except ConfigError as error:
         log.error("%s", error)
         return 2
--- a/tests/workers/test_workers.py
+++ b/tests/workers/test_workers.py
@@ -203,6 +203,30 @@
     run(main)
 
 
+def test_connections_that_all_fell_to_one_worker_are_served_and_limits_kept():
+    async def main():
+        async with crew(2, work_scale=0.5) as here:
+            one, other = here.pids.values()
+            os.kill(other, signal.SIGSTOP)  # so that the first lets all of them in
+            streams = [await asyncio.open_connection(*here.instance.address) for _ in range(24)]
+            for stream in streams:
+                stream[1].write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert await status(stream) == 200
+            os.kill(other, signal.SIGCONT)
+            holders = [holder(stream[1].get_extra_info("socket"), [one, other]) for stream in streams]
+            assert holders == [one] * 24
+            for number, stream in enumerate(streams):
+                stream[1].write(ask(f"u{number}"))
+            got = [await status(stream) for stream in streams]
+            assert got == [200] * 24, got
+            # The idle one takes what comes next, with its own half of the budgets.
+            late = await asyncio.open_connection(*here.instance.address)
+            late[1].write(ask("late"))
+            assert await status(late) == 200
+
+    run(main)
+
+
 def test_sigterm_in_the_middle_of_a_replacement_ends_all_in_good_order():
     async def main():
         async with crew(2, work_scale=4.0) as here:
@@ -255,8 +279,9 @@
     async def main():
         async with crew(2) as here:
             victim = here.pids[0]
-            used = len(os.listdir(f"/proc/{victim}/fd"))
-            resource.prlimit(victim, resource.RLIMIT_NOFILE, (used, used))
+            used = {int(name) for name in os.listdir(f"/proc/{victim}/fd")}
+            least = next(number for number in range(len(used) + 1) if number not in used)
+            resource.prlimit(victim, resource.RLIMIT_NOFILE, (least, least))  # none is left, not even in a gap
             streams = [await asyncio.open_connection(*here.instance.address) for _ in range(30)]
             for number, stream in enumerate(streams):
                 stream[1].write(ask(f"d{number}"))
