--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -81,6 +81,8 @@
             assert code == 3 and "came first" in err and "process.backlog (zone=a): None -> 99" in err
             code, out, _ = await world.command("rollout", "undo", "2")
             assert code == 0
+            code, out, _ = await world.command("rollout", "watch", "2")  # till then it is busy: a0 restarts
+            assert code == 0, out
             listed = (await world.table("list"))["instances"]
             assert [i["name"] for i in listed] == ["a0", "a1", "a2"]
             (world.folder / "f.toml").write_text("[limits]\nmax_attempts = 2\n")
