Take out of the WebSocket parts what stood there twice or unused

Reading the change again: a refused handshake was an exception of its own that the hub caught and raised anew as Malformed, and is one now; the hub kept classes and tenants a second time beside the settings; the relay counted and kept what nobody read.

--- a/covetally/websocket/handshake.py
+++ b/covetally/websocket/handshake.py
@@ -22,12 +22,11 @@
 _QUOTED = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
-class Refused(Exception):
+class Refused(Malformed):
     """A handshake that will not do: the status for it (section 4.2.2) and what goes with it."""
 
     def __init__(self, status: int, reason: str, headers: Headers | None = None) -> None:
-        super().__init__(reason)
-        self.status, self.headers = status, headers or []
+        super().__init__(reason, status, headers)
 
 
 def _all(headers: Headers, name: bytes) -> list[bytes]:
--- a/covetally/websocket/hub.py
+++ b/covetally/websocket/hub.py
@@ -75,12 +75,10 @@
 
     def retune(self, plan: Plan, settings: Settings) -> None:
         """Keep to these from here on; open sockets keep what they began with."""
-        self._plan = plan
+        self._plan, self._settings = plan, settings
         self.policy.bounds = plan.bounds
         self._classes = {c.name.encode(): (i, c) for i, c in enumerate(settings.classes)}
-        self._by_place = list(settings.classes)
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
-        self._tenant_names = [t.name for t in settings.tenants]
 
     # --- handshakes, for the frontend -----------------------------------------------------------
 
@@ -90,17 +88,14 @@
 
     def begin(self, head: RequestHead) -> Upgrade:
         """A handshake as it is to go on; Malformed if it must not."""
-        try:
-            asked, headers = handshake.read(head)
-        except handshake.Refused as error:
-            raise Malformed(str(error), error.status, error.headers) from None
+        asked, headers = handshake.read(head)
         fields = head.fields
         route = self._plan.route(head.target.decode("latin-1"))
         number, cls = self._classes.get(fields.get(b"x-qos", b""), (route.cls, None))
         if cls is None:
             if number < 0:
                 raise Malformed("X-Qos names no class, and no route has one")
-            cls = self._by_place[number]
+            cls = self._settings.classes[number]
         trace_id = fields.get(b"x-trace-id", b"")
         if not trace_id:
             trace_id = b"ws-" + secrets.token_hex(8).encode()
@@ -113,7 +108,7 @@
             wanted_ns = cls.deadline_ns
         ttl_ns = max(1, min(cls.deadline_ns, route.handshake_ns, wanted_ns if wanted_ns > 0 else cls.deadline_ns))
         place = self._tenants.get(fields.get(b"x-customer", b""), route.tenant)
-        tenant = self._tenant_names[place] if place >= 0 else ""
+        tenant = self._settings.tenants[place].name if place >= 0 else ""
         arrival = Arrival(number, ttl_ns, tenant=place, upgrade=True)
         return Upgrade(headers, arrival, trace_id, _Asked(asked, route, tenant), asked)
 
--- a/covetally/websocket/relay.py
+++ b/covetally/websocket/relay.py
@@ -14,7 +14,6 @@
 
 import asyncio
 import enum
-import logging
 import os
 import socket
 import struct
@@ -22,6 +21,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from covetally.net.wheel import Timer, Wheel
 from covetally.websocket.frames import (
@@ -39,8 +39,6 @@
 )
 from covetally.websocket.life import CLIENT, NODE, Life, Patience, Verdict
 
-log = logging.getLogger(__name__)
-
 RECEIVE = 64 * 1024  # one read
 OWN = b"cs"  # pings of ours begin so
 RATE_BURST_S = 2.0  # frames of so many seconds may come at once
@@ -75,8 +73,8 @@
     """One of the two connections."""
 
     __slots__ = (
-        "close_got", "close_sent", "fd", "frames", "got", "lost", "number", "out", "owed", "reading", "sent",
-        "sock", "tokens", "tokens_at", "waiting", "writing",
+        "close_got", "close_sent", "fd", "frames", "got", "lost", "number", "out", "owed", "reading", "sock",
+        "tokens", "tokens_at", "waiting", "writing",
     )  # fmt: skip
 
     def __init__(self, number: int, sock: socket.socket, limits: Limits, tokens: float, now: float) -> None:
@@ -90,16 +88,15 @@
         self.close_sent: int | None = None  # a close frame has been put into what is sent to it,
         self.close_got: int | None = None  # and one has come from it
         self.tokens, self.tokens_at = tokens, now
-        self.got = self.sent = 0  # frames from it, bytes to it
+        self.got = 0  # frames from it
 
 
-class Ending:
+class Ending(NamedTuple):
     """How a socket ended: why, and the close code that each side was sent and sent itself (None: none)."""
 
-    __slots__ = ("got", "sent", "why")
-
-    def __init__(self, why: str, sent: tuple[int | None, int | None], got: tuple[int | None, int | None]) -> None:
-        self.why, self.sent, self.got = why, sent, got
+    why: str
+    sent: tuple[int | None, int | None]
+    got: tuple[int | None, int | None]
 
 
 class Relay:
@@ -108,7 +105,7 @@
 
     __slots__ = (
         "_close_at", "_hung", "_life", "_look_at", "_loop", "_terms", "_timer", "_wheel", "ended", "id", "node",
-        "opened_at", "sides", "state", "tenant", "why",
+        "sides", "state", "tenant", "why",
     )  # fmt: skip
 
     def __init__(
@@ -121,7 +118,7 @@
         self._terms, self._wheel = terms, wheel
         self.ended, self._hung = ended, hung
         self.state, self.why = State.OPEN, ""
-        self.opened_at = now = self._loop.time()
+        now = self._loop.time()
         self._life = Life(terms.patience, luck, now)
         burst = terms.frames_per_s * RATE_BURST_S
         self.sides = (
@@ -272,7 +269,6 @@
             except OSError:
                 self._lose(side)
                 return
-            side.sent += count
             if count == len(data):
                 return
             data = data[count:]
@@ -302,7 +298,6 @@
             while side.out:
                 piece = side.out[0]
                 count = side.sock.send(piece)
-                side.sent += count
                 side.waiting -= count
                 if count < len(piece):
                     side.out[0] = piece[count:]
