--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -104,7 +104,8 @@
     ) -> None:
         self.event, self.tid, self.cls, self.number, self.first = event, event.tid, cls, number, first
         self.deadline = now + event.ttl_ns
-        self.aim_at = first + min(cls.aim_ns + int(cls.aim_stretch * size), cls.deadline_ns)
+        aim_at = first + min(cls.aim_ns + int(cls.aim_stretch * size), cls.deadline_ns)
+        self.aim_at = min(aim_at, self.deadline)  # whoever leaves before the aim has nothing of an answer in time
         if event.upgrade:
             self.aim_at = self.deadline  # a connection that stays is worth waiting for as long as its client does
         self.size = size
@@ -168,8 +169,8 @@
         self._unit = [c.aim_ns / 4 for c in settings.classes]  # mean service time by class, as learned
         self._stretch = 1.0  # service time over size, all servers
         self._by_kind: dict[int, float] = {}
-        self._wait = 0.0  # mean wait reported of late
-        self._wait_at = now
+        self._waits = [0.0, 0.0]  # mean wait reported of late, of servers that are warm and of cold ones
+        self._waits_at = [now, now]
         self._own = 0.0  # this process's own delay of late, between an attempt's submission and its outcome
         self._own_at = now
         self._late_from = self._late_at = 0  # first and last request that waited too long, of those now coming
@@ -483,16 +484,20 @@
     def _learn(self, now: int, attempt: Attempt, event: Response) -> None:
         server, load, lag = attempt.server, event.load, event.lag_ns
         known = server.seen > 0
+        warmth = self._warmth(server, now)
         wait = self._report_wait(load) if load else None
         if wait is not None:
             server.wait = wait
-            self._note_wait(now, wait)
+            self._note_wait(now, wait, server)
         elif event.how == OK:
             server.wait *= 1.0 - GAIN  # where no report tells the wait, none would end what a time-out taught
+        told = 0.0
         if load:
             report = load.get("latency_ms", 0.0) * 1e6
             if 0 < report < ABSURD:
-                sample = report / self._size
+                # The time that a server tells has its queue in it, and the wait is counted for itself.
+                told = max(report - (wait or 0.0), report / 4)
+                sample = told / self._size
                 server.stretch += (sample - server.stretch) * (GAIN if known else 1.0)
                 known = True
             server.seen = now
@@ -501,24 +506,32 @@
             service = max(lag - server.wait, lag / 4) if "queue" in load else lag
             weight = GAIN * min(2.0, size / unit[number])
             sample = service / size
-            old = server.stretch if known else self._kind_stretch(server)
+            old = server.stretch if known else self._kind_stretch(server) / warmth
             server.stretch = old + (sample - old) * weight
             server.seen = now
+            # What the others' expected times are made of is the work of a warm one, and no queue: where a report
+            # tells both times of one moment, that is known better than from this call.
+            sample = (told / self._size if told and wait is not None else sample) * warmth
             all_ = self._stretch
             self._stretch = all_ = all_ + (sample - all_) * weight / 8
             kind = self._by_kind.get(server.kind, all_)
             self._by_kind[server.kind] = kind + (sample - kind) * weight / 4
-            unit[number] += (service / all_ - unit[number]) * GAIN / 8
+            if not wait:
+                unit[number] += (service * warmth / all_ - unit[number]) * GAIN / 8
             server.late *= 1.0 - GAIN
         elif event.how == TIMEOUT and self._many and server.late < LONE:
             # As for "lone failure": an answer may be lost where nothing queues, and more calls soon tell.
             server.late += (1.0 - server.late) * GAIN
         elif event.how == TIMEOUT and lag > 0:
             # A call that timed out waited at least so long: reports may not say it yet.
-            server.wait = max(server.wait, lag - attempt.size * self._kind_stretch(server))
+            waited = lag - attempt.size * self._kind_stretch(server) / warmth
+            server.wait = max(server.wait, waited)
             server.seen = now
-            self._note_wait(now, server.wait)
-            kind, sample = self._kind_stretch(server), lag / attempt.size
+            if waited > 0:
+                # And longer by an unknown time, for which the mean stands in: that time-outs cut a wait short
+                # must not make queues look the shorter the more calls they kill.
+                self._note_wait(now, waited + self._mean_wait(now, warmth < 1.0), server)
+            kind, sample = self._kind_stretch(server), lag / attempt.size * warmth
             if sample > kind and len(self._set.kinds) > 1:  # else slow kinds are judged by survivors
                 self._by_kind[server.kind] = kind + (sample - kind) * GAIN / 4
 
@@ -539,7 +552,7 @@
         server = self._by_mark.get(mark)
         if server is not None:
             server.wait = float(wait * RUMOUR_NS)
-            self._note_wait(now, server.wait)
+            self._note_wait(now, server.wait, server)
             sample = service * RUMOUR_NS / self._size
             server.stretch += (sample - server.stretch) * (GAIN if server.seen else 1.0)
             server.seen = now
@@ -552,18 +565,20 @@
         wait = queue / rate * 1e9 if rate > 0 else queue * max(0.0, load.get("latency_ms", 0.0)) * 1e6 / 4
         return wait if wait < ABSURD else None  # one absurd figure, infinity or NaN would stay in every mean
 
-    def _mean_wait(self, now: int) -> float:
-        """Fades without news: a sidecar that refuses all hears nothing, and must not refuse forever."""
-        return self._wait * self._settle / (self._settle + now - self._wait_at)
+    def _mean_wait(self, now: int, cold: bool = False) -> float:
+        """Fades without news: a sidecar that refuses all hears nothing, and must not refuse forever. Cold servers
+        have a mean of their own: after a release they are many, and the warm ones' queues are not theirs."""
+        return self._waits[cold] * self._settle / (self._settle + now - self._waits_at[cold])
 
     def _mean_own(self, now: int) -> float:
         return self._own * self._settle / (self._settle + now - self._own_at)
 
-    def _note_wait(self, now: int, wait: float) -> None:
+    def _note_wait(self, now: int, wait: float, server: Server) -> None:
         """The rarer the news, the more each one says: a quiet sidecar has to learn in a few calls."""
-        gain = min(GAIN, max(GAIN / 8, (now - self._wait_at) / self._settle))
-        mean = self._mean_wait(now)
-        self._wait, self._wait_at = mean + (wait - mean) * gain, now
+        cold = self._warmth(server, now) < 1.0
+        gain = min(GAIN, max(GAIN / 8, (now - self._waits_at[cold]) / self._settle))
+        mean = self._mean_wait(now, cold)
+        self._waits[cold], self._waits_at[cold] = mean + (wait - mean) * gain, now
 
     def _kind_stretch(self, server: Server) -> float:
         return self._by_kind.get(server.kind, self._stretch)
@@ -662,27 +677,32 @@
 
     # --- the pick -------------------------------------------------------------------------------
 
-    def _ramp(self, server: Server, now: int) -> float:
-        """Share of draws a server may keep: below its worst-case warmth while it may be cold."""
+    def _warmth(self, server: Server, now: int) -> float:
+        """The least share of its capacity that a server can have by now."""
         inv = self._set.invariants
         age = now - server.started
         if server.started <= 0 or age >= inv.cold_ns:
             return 1.0
-        warm = inv.cold_from + (1.0 - inv.cold_from) * max(age, 0) / inv.cold_ns
-        return warm * warm ** 0.5
+        return inv.cold_from + (1.0 - inv.cold_from) * max(age, 0) / inv.cold_ns
+
+    def _ramp(self, server: Server, now: int) -> float:
+        """Share of draws a server may keep: below its warmth, since the better of two draws gets the call."""
+        warmth = self._warmth(server, now)
+        return warmth * warmth ** 0.5
 
     def _expect(self, server: Server, call: Call, now: int, mean: float) -> float:
         """Expected time to answer, with prices and risk put into time. What is old fades to the mean, of waits to
         `mean`."""
         size, aim, wait = call.size, call.cls.aim_ns, mean
         stretch = self._by_kind.get(server.kind, self._stretch)
+        if server.started > 0 and (warmth := self._warmth(server, now)) < 1.0:
+            # Its own answers tell how slow it is; where there are none, what a warm one needs does.
+            wait, stretch = self._mean_wait(now, True), stretch / warmth
         if server.seen:
             age, settle, memory = now - server.seen, self._settle, self._memory
             wait += (server.wait - wait) * settle / (settle + age)
             stretch += (server.stretch - stretch) * memory / (memory + age)
         expect = size * stretch + wait
-        if server.started > 0:
-            expect += size * stretch * (1.0 / self._ramp(server, now) - 1.0)
         if server.zone != self._set.zone:
             expect += self._cross * aim
         if server.inflight >= server.peak or now - server.used > self._conn_idle:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -319,7 +319,7 @@
     paper.answer(paper.accept(), 0, lag=20_000_000, **load)
     for _ in range(5):
         paper.answer(paper.accept(), 0, lag=20_000_000)
-    assert paper.balancer._wait < 1e9
+    assert max(paper.balancer._waits) < 1e9
     assert all(s.wait < 1e9 for s in paper.balancer._servers.values())
 
 
