--- a/covetally/tier/members.py
+++ b/covetally/tier/members.py
@@ -228,11 +228,13 @@
                 helpers = self._others(self.timing.through, but=call.target)
                 sends += [Send(peer, self._message(Kind.ASK_FOR, number, call.target)) for peer in helpers]
         for number, member in self._members.items():
-            if member.state is State.SUSPECTED and now - member.since >= self.suspicion_ns():
-                if self.me in member.witnesses or len(member.witnesses) >= WITNESSES:
-                    self._set(now, number, State.GONE, member.incarnation, member.life, self.me)
-                else:  # hearsay of one: it was called meanwhile, or will be
-                    self._set_back(now, number)
+            suspicion = self.suspicion_ns()
+            if member.state is not State.SUSPECTED or now - member.since < suspicion:
+                continue
+            if self.me in member.witnesses or len(member.witnesses) >= WITNESSES:
+                self._set(now, number, State.GONE, member.incarnation, member.life, self.me)
+            elif now - member.since >= 2 * suspicion:  # hearsay of one, and nobody else in all that time
+                self._set_back(now, number)
         if now >= self._next_call:
             self._next_call = max(self._next_call + self.timing.period_ns, now + self.timing.period_ns // 2)
             if (target := self._next_target()) is not None:
