--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -496,7 +496,7 @@
         wait = self._report_wait(load) if load else None
         if wait is not None:
             server.wait = wait
-            self._note_wait(now, wait, server)
+            self._note_wait(now, wait, warmth < 1.0)
         elif event.how == OK:
             server.wait *= 1.0 - GAIN  # where no report tells the wait, none would end what a time-out taught
         told = 0.0
@@ -538,7 +538,8 @@
             if waited > 0:
                 # And longer by an unknown time, for which the mean stands in: that time-outs cut a wait short
                 # must not make queues look the shorter the more calls they kill.
-                self._note_wait(now, waited + self._mean_wait(now, warmth < 1.0), server)
+                cold = warmth < 1.0
+                self._note_wait(now, waited + self._mean_wait(now, cold), cold)
             kind, sample = self._kind_stretch(server), lag / attempt.size * warmth
             if sample > kind and len(self._set.kinds) > 1:  # else slow kinds are judged by survivors
                 self._by_kind[server.kind] = kind + (sample - kind) * GAIN / 4
@@ -560,7 +561,7 @@
         server = self._by_mark.get(mark)
         if server is not None:
             server.wait = float(wait * RUMOUR_NS)
-            self._note_wait(now, server.wait, server)
+            self._note_wait(now, server.wait, self._warmth(server, now) < 1.0)
             sample = service * RUMOUR_NS / self._size
             server.stretch += (sample - server.stretch) * (GAIN if server.seen else 1.0)
             server.seen = now
@@ -581,9 +582,8 @@
     def _mean_own(self, now: int) -> float:
         return self._own * self._settle / (self._settle + now - self._own_at)
 
-    def _note_wait(self, now: int, wait: float, server: Server) -> None:
+    def _note_wait(self, now: int, wait: float, cold: bool) -> None:
         """The rarer the news, the more each one says: a quiet sidecar has to learn in a few calls."""
-        cold = self._warmth(server, now) < 1.0
         gain = min(GAIN, max(GAIN / 8, (now - self._waits_at[cold]) / self._settle))
         mean = self._mean_wait(now, cold)
         self._waits[cold], self._waits_at[cold] = mean + (wait - mean) * gain, now
--- a/covetally/tier/members.py
+++ b/covetally/tier/members.py
@@ -227,8 +227,8 @@
                 call.widened = True
                 helpers = self._others(self.timing.through, but=call.target)
                 sends += [Send(peer, self._message(Kind.ASK_FOR, number, call.target)) for peer in helpers]
+        suspicion = self.suspicion_ns()
         for number, member in self._members.items():
-            suspicion = self.suspicion_ns()
             if member.state is not State.SUSPECTED or now - member.since < suspicion:
                 continue
             if self.me in member.witnesses or len(member.witnesses) >= WITNESSES:
@@ -301,7 +301,7 @@
     def _rumour(self, now: int, rumour: Rumour, sender: int) -> None:
         member, state, incarnation, life, witness = rumour
         known = self._members.get(member)
-        if known is None or not incarnation > 0 or witness not in self._members:
+        if known is None or incarnation <= 0 or witness not in self._members:
             self.wrong += 1
             return
         if member == self.me:
@@ -406,15 +406,10 @@
 
     def _next_target(self) -> int | None:
         """The next to be called: each once a round, those that are out too, so that a healed cut shows."""
-        while True:
-            if not self._round:
-                self._round = [n for n in self._members if n != self.me]
-                self._random.shuffle(self._round)
-                if not self._round:
-                    return None
-            number = self._round.pop()
-            if number in self._members:
-                return number
+        if not self._round:  # `resize` takes out whom it forgets
+            self._round = [n for n in self._members if n != self.me]
+            self._random.shuffle(self._round)
+        return self._round.pop() if self._round else None
 
     def _others(self, count: int, but: int = -1) -> list[int]:
         there = [n for n, m in self._members.items() if m.state is State.ALIVE and n not in (self.me, but)]
