--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -35,6 +35,8 @@
 PEERS = 4  # peers told of each outcome, at most
 RUMOUR = Struct(">IHH")  # hash of the server's name, its wait, its service time
 RUMOUR_NS = 100_000  # unit of the times told
+DIGEST, DIGEST_MARK, DIGEST_MOST = Struct(">IHHB"), b"\x44", 28  # the same and its age; so many in one message
+DIGEST_NS = 10_000_000  # unit of the ages told
 ABSURD = 1e13  # no report of a time this long is believed
 RETRY_RATIO = 0.2  # further attempts earned by one request
 LONE = 0.4  # failure average past which a failure is not the only one of late, where all others are well
@@ -190,6 +192,8 @@
         self._heard = 0.0  # requests of late, decaying over the horizon
         self._heard_at = now
         self._many = False  # "many calls": over PLENTY of late for each server
+        self._news: dict[Server, None] = {}  # servers that spoke since peers were told last
+        self._news_at = now
         self._unserved: dict[tuple[int, int, str, int], int] = {}
         self._keys: dict[str, int] = {}
         self._keys_total = 0
@@ -369,7 +373,7 @@
         if attempt.odds is not None and how not in NO_VERDICT:
             attempt.odds.note(now, how == OK and now <= attempt.aim_at, 4 * self._horizon)
         if self._set.limits.peers and how in (OK, TIMEOUT):
-            self._tell(server)
+            self._tell(now, server)
         if attempt.trial:
             server.trial = False
         if how in ANSWERS:
@@ -544,27 +548,48 @@
             if sample > kind and len(self._set.kinds) > 1:  # else slow kinds are judged by survivors
                 self._by_kind[server.kind] = kind + (sample - kind) * GAIN / 4
 
-    def _tell(self, server: Server) -> None:
-        """Exception "rumour": a quiet sidecar hears too little by itself; a few bytes to peers are cheap."""
+    def _tell(self, now: int, server: Server) -> None:
+        """Exception "rumour": a quiet sidecar hears too little by itself; a few bytes to peers are cheap. Where
+        peers are many for each server, each outcome is told to some; where they are not, some outcomes together."""
+        others = self._set.replicas - 1
+        count = min(PEERS, others // (PEERS * max(1, len(self._up))))
+        if count:
+            self._signal_some(count, RUMOUR.pack(*self._rumour(server)))
+            return
+        self._news[server] = None
+        if others > 0 and (len(self._news) >= DIGEST_MOST or now - self._news_at > self._settle // 2):
+            told = [s for s in self._news if s.seen]
+            self._news, self._news_at = {}, now
+            ages = (min(255, (now - s.seen) // DIGEST_NS) for s in told)
+            parts = (DIGEST.pack(*self._rumour(s), age) for s, age in zip(told, ages, strict=True))
+            self._signal_some(min(PEERS, others), DIGEST_MARK + b"".join(parts))
+
+    def _rumour(self, server: Server) -> tuple[int, int, int]:
         times = (server.wait, server.stretch * self._size)
         wait, service = (max(0, min(int(x / RUMOUR_NS), 65535)) for x in times)
-        blob = RUMOUR.pack(crc32(server.name.encode()), wait, service)
-        others = self._set.replicas - 1
-        for _ in range(min(PEERS, others // (PEERS * max(1, len(self._up))))):
-            peer = int(self._random() * others)
+        return crc32(server.name.encode()), wait, service
+
+    def _signal_some(self, count: int, blob: bytes) -> None:
+        for _ in range(count):
+            peer = int(self._random() * (self._set.replicas - 1))
             self._acts.append(Signal(peer + (peer >= self._set.index), blob))
 
     def _on_heard(self, now: int, event: Heard) -> None:
-        if len(event.blob) != RUMOUR.size:
-            return
-        mark, wait, service = RUMOUR.unpack(event.blob)
+        blob = event.blob
+        if len(blob) == RUMOUR.size:
+            self._hear(now, now, *RUMOUR.unpack(blob))
+        elif blob[:1] == DIGEST_MARK and (len(blob) - 1) % DIGEST.size == 0:
+            for mark, wait, service, age in DIGEST.iter_unpack(blob[1:]):
+                self._hear(now, now - age * DIGEST_NS, mark, wait, service)
+
+    def _hear(self, now: int, then: int, mark: int, wait: int, service: int) -> None:
         server = self._by_mark.get(mark)
-        if server is not None:
+        if server is not None and server.seen < then:  # what is known is older than what is told
             server.wait = float(wait * RUMOUR_NS)
             self._note_wait(now, server.wait, self._warmth(server, now) < 1.0)
             sample = service * RUMOUR_NS / self._size
             server.stretch += (sample - server.stretch) * (GAIN if server.seen else 1.0)
-            server.seen = now
+            server.seen = then
 
     def _report_wait(self, load: dict[str, float]) -> float | None:
         """Expected wait from a report, by Little's law where the rate is told."""
