--- a/covetally/balance.py
+++ b/covetally/balance.py
@@ -17,8 +17,8 @@
 from zlib import crc32
 
 from covetally.interface import (
-    NEVER_RAN, Accept, Action, Alarm, Begun, Belief, Defer, Directory, Entry, Event, Fail, Hangup, Heard, How,
-    Held, Refuse, RequestClass, Response, Settings, Signal, Submit, Subscribe, Suspect,
+    NEVER_RAN, Accept, Action, Alarm, Allotted, Begun, Belief, Defer, Directory, Entry, Event, Fail, Hangup,
+    Heard, How, Held, Refuse, RequestClass, Response, Settings, Signal, Submit, Subscribe, Suspect, Warned,
 )
 
 OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, SPOILT = How
@@ -35,8 +35,6 @@
 PEERS = 4  # peers told of each outcome, at most
 RUMOUR = Struct(">IHH")  # hash of the server's name, its wait, its service time
 RUMOUR_NS = 100_000  # unit of the times told
-DIGEST, DIGEST_MARK, DIGEST_MOST = Struct(">IHHB"), b"\x44", 28  # the same and its age; so many in one message
-DIGEST_NS = 10_000_000  # unit of the ages told
 ABSURD = 1e13  # no report of a time this long is believed
 RETRY_RATIO = 0.2  # further attempts earned by one request
 LONE = 0.4  # failure average past which a failure is not the only one of late, where all others are well
@@ -60,12 +58,14 @@
     __slots__ = (
         "name", "zone", "kind", "cell", "up", "started", "inflight", "k", "figure", "trial", "backoff",
         "retry_at", "stretch", "wait", "seen", "bad", "peak", "used", "slot", "refused", "gone",
-        "ceiling", "late", "fails", "held",
+        "ceiling", "late", "fails", "held", "warned", "turn",
     )
 
     def __init__(self, entry: Entry, figure: float) -> None:
         self.name = entry.server
         self.ceiling = figure
+        self.warned: tuple[int, ...] = ()  # classes for which the tier tells to try elsewhere first; -1: all
+        self.turn = False  # the tier's one trial call there is this sidecar's
         self.held = 0  # connections of another protocol that stand there: see "upgrade"
         self.inflight = 0
         self.peak = 0  # connections open, as far as own calls in flight tell
@@ -148,6 +148,42 @@
         self.hits, self.tries, self.at = self.hits * kept + hit, self.tries * kept + 1.0, now
 
 
+class Allotment:
+    """This sidecar's part of a limit on a tenant's calls. A rate is saved up for `burst_s`, and for one call at
+    least; what is saved begins with nothing, so that parts that change hands are not used twice."""
+
+    __slots__ = ("asked", "at", "told", "tokens")
+
+    def __init__(self, told: Allotted, now: int) -> None:
+        self.told, self.at, self.tokens = told, now, 0.0
+        self.asked = 0  # calls that came, or most in flight at a time with the refused, since `demand` was read
+
+    def amount(self, now: int) -> float:
+        """What may be used now: a part that was lent has lapsed by this clock, whatever else was heard."""
+        told = self.told
+        return (told.amount or 0.0) if now < told.until_ns else told.then
+
+    def refill(self, now: int) -> None:
+        """Save up what has come in, to what may be saved."""
+        told, end = self.told, max(self.at, min(now, self.told.until_ns))
+        came = (end - self.at) * (told.amount or 0.0) + (now - end) * told.then
+        self.tokens = min(self.tokens + came / 1e9, max(1.0, self.amount(now) * told.burst_s))
+        self.at = now
+
+    def admits(self, now: int, open_: int) -> bool:
+        """Whether one more call may come, where `open_` are in flight with it."""
+        if self.told.in_flight:
+            self.asked = max(self.asked, open_)
+            return open_ <= self.amount(now)
+        self.asked += 1
+        self.refill(now)
+        return self.tokens >= 1.0
+
+    def wait(self, now: int) -> int:
+        """When the next call's part of a rate has come in, in ns."""
+        return int((1.0 - self.tokens) / max(1e-3, self.amount(now)) * 1e9) + 1
+
+
 class Balancer:
     """One sidecar's balancer: clock, seed and events in, actions out."""
 
@@ -191,9 +227,11 @@
         self._cuts = False  # whether any zone may count as cut off
         self._heard = 0.0  # requests of late, decaying over the horizon
         self._heard_at = now
+        self._allotted: dict[int, list[Allotment]] = {}  # by tenant
+        self._warned_until = 0
+        self._warned: list[Server] = []
+        self._warned_zones: tuple[int, ...] = ()
         self._many = False  # "many calls": over PLENTY of late for each server
-        self._news: dict[Server, None] = {}  # servers that spoke since peers were told last
-        self._news_at = now
         self._unserved: dict[tuple[int, int, str, int], int] = {}
         self._keys: dict[str, int] = {}
         self._keys_total = 0
@@ -234,6 +272,10 @@
             for s in self._servers.values()
         ]  # fmt: skip
 
+    def zones(self) -> dict[str, int]:
+        """The servers up, with the zone of each."""
+        return {s.name: s.zone for s in self._up}
+
     def _why(self, server: Server, now: int) -> str:
         """Why a server gets less than its share, empty if it does not."""
         if not server.up:
@@ -242,6 +284,8 @@
             return "on trial" if server.trial else "in backoff" if now < server.retry_at else "due for a trial"
         if self._is_cut(now, server.zone):
             return "its zone is cut off"
+        if self._is_warned(now, server):
+            return "the tier's turn to try it" if server.turn else "avoided by the tier"
         if self._ramp(server, now) < 1.0:
             return "cold"
         return "at budget" if server.inflight >= server.budget else ""
@@ -272,6 +316,10 @@
             self._on_suspect(now, event)
         elif kind is Held and (server := self._servers.get(event.server)) is not None:
             server.held = max(0, server.held + event.change)
+        elif kind is Warned:
+            self._on_warned(now, event)
+        elif kind is Allotted:
+            self._on_allotted(now, event)
         return self._acts
 
     def _on_accept(self, now: int, event: Accept) -> None:
@@ -287,7 +335,9 @@
         self._calls[event.tid] = call
         self._size += (size - self._size) * GAIN / 16
         self._count(now, event.key if self._set.warm_keys else "")
-        if now >= call.aim_at and not cls.late_worth:
+        if self._allotted and (over := self._over(now, event.tenant)):
+            self._end(now, call, over)
+        elif now >= call.aim_at and not cls.late_worth:
             # Exception "late retry": its first try's aim has passed; work for it would earn nothing.
             self._end(now, call, self._set.limits.max_retry_after_ns)
         elif (
@@ -301,6 +351,45 @@
         elif not self._try(now, call):
             self._hold(now, call)
 
+    def _over(self, now: int, tenant: int) -> int:
+        """Exception "limit": 0 if the tenant may have one more call here, of what the tier holds together; else
+        when to come back. Every limit counts the call, so that what is wanted of each is known."""
+        limits = self._allotted.get(tenant)
+        if not limits:
+            return 0
+        open_ = sum(1 for c in self._calls.values() if c.event.tenant == tenant)
+        full = [limit for limit in limits if not limit.admits(now, open_)]
+        if not full:
+            for limit in limits:
+                limit.tokens -= not limit.told.in_flight
+            return 0
+        # A call in flight ends within about an aim; a rate tells when.
+        return max(self._settle // 4 if limit.told.in_flight else limit.wait(now) for limit in full)
+
+    def _on_allotted(self, now: int, event: Allotted) -> None:
+        limits = self._allotted.setdefault(event.tenant, [])
+        known = next((limit for limit in limits if limit.told.in_flight == event.in_flight), None)
+        if known is not None:
+            known.refill(now)
+            known.told = event
+            known.refill(now)  # what was saved up of a larger part is not kept
+            if event.amount is None:
+                limits.remove(known)
+        elif event.amount is not None:
+            limits.append(Allotment(event, now))
+        if not limits:
+            del self._allotted[event.tenant]
+
+    def demand(self) -> dict[tuple[int, bool], int]:
+        """By tenant and kind of limit: calls that came, or the most that were in flight or wanted to be, since
+        this was last read."""
+        found = {}
+        for tenant, limits in self._allotted.items():
+            for limit in limits:
+                found[tenant, limit.told.in_flight] = limit.asked
+                limit.asked = 0
+        return found
+
     def glance(self, now: int, age: int, retry: bool) -> int:
         """Whether a request that has waited here for `age` is let in: 0 if so, else after how many ns its client
         may come back. It need not have been read: nothing else of it counts.
@@ -373,7 +462,7 @@
         if attempt.odds is not None and how not in NO_VERDICT:
             attempt.odds.note(now, how == OK and now <= attempt.aim_at, 4 * self._horizon)
         if self._set.limits.peers and how in (OK, TIMEOUT):
-            self._tell(now, server)
+            self._tell(server)
         if attempt.trial:
             server.trial = False
         if how in ANSWERS:
@@ -548,48 +637,27 @@
             if sample > kind and len(self._set.kinds) > 1:  # else slow kinds are judged by survivors
                 self._by_kind[server.kind] = kind + (sample - kind) * GAIN / 4
 
-    def _tell(self, now: int, server: Server) -> None:
-        """Exception "rumour": a quiet sidecar hears too little by itself; a few bytes to peers are cheap. Where
-        peers are many for each server, each outcome is told to some; where they are not, some outcomes together."""
-        others = self._set.replicas - 1
-        count = min(PEERS, others // (PEERS * max(1, len(self._up))))
-        if count:
-            self._signal_some(count, RUMOUR.pack(*self._rumour(server)))
-            return
-        self._news[server] = None
-        if others > 0 and (len(self._news) >= DIGEST_MOST or now - self._news_at > self._settle // 2):
-            told = [s for s in self._news if s.seen]
-            self._news, self._news_at = {}, now
-            ages = (min(255, (now - s.seen) // DIGEST_NS) for s in told)
-            parts = (DIGEST.pack(*self._rumour(s), age) for s, age in zip(told, ages, strict=True))
-            self._signal_some(min(PEERS, others), DIGEST_MARK + b"".join(parts))
-
-    def _rumour(self, server: Server) -> tuple[int, int, int]:
+    def _tell(self, server: Server) -> None:
+        """Exception "rumour": a quiet sidecar hears too little by itself; a few bytes to peers are cheap."""
         times = (server.wait, server.stretch * self._size)
         wait, service = (max(0, min(int(x / RUMOUR_NS), 65535)) for x in times)
-        return crc32(server.name.encode()), wait, service
-
-    def _signal_some(self, count: int, blob: bytes) -> None:
-        for _ in range(count):
-            peer = int(self._random() * (self._set.replicas - 1))
+        blob = RUMOUR.pack(crc32(server.name.encode()), wait, service)
+        others = self._set.replicas - 1
+        for _ in range(min(PEERS, others // (PEERS * max(1, len(self._up))))):
+            peer = int(self._random() * others)
             self._acts.append(Signal(peer + (peer >= self._set.index), blob))
 
     def _on_heard(self, now: int, event: Heard) -> None:
-        blob = event.blob
-        if len(blob) == RUMOUR.size:
-            self._hear(now, now, *RUMOUR.unpack(blob))
-        elif blob[:1] == DIGEST_MARK and (len(blob) - 1) % DIGEST.size == 0:
-            for mark, wait, service, age in DIGEST.iter_unpack(blob[1:]):
-                self._hear(now, now - age * DIGEST_NS, mark, wait, service)
-
-    def _hear(self, now: int, then: int, mark: int, wait: int, service: int) -> None:
+        if len(event.blob) != RUMOUR.size:
+            return
+        mark, wait, service = RUMOUR.unpack(event.blob)
         server = self._by_mark.get(mark)
-        if server is not None and server.seen < then:  # what is known is older than what is told
+        if server is not None:
             server.wait = float(wait * RUMOUR_NS)
             self._note_wait(now, server.wait, self._warmth(server, now) < 1.0)
             sample = service * RUMOUR_NS / self._size
             server.stretch += (sample - server.stretch) * (GAIN if server.seen else 1.0)
-            server.seen = then
+            server.seen = now
 
     def _report_wait(self, load: dict[str, float]) -> float | None:
         """Expected wait from a report, by Little's law where the rate is told."""
@@ -687,7 +755,7 @@
     def _is_cut(self, now: int, zone: int) -> bool:
         """Whether a zone counts as cut off: calls to it failed, or the first of some calls there has waited for
         half an aim and none was answered, while a call sent elsewhere since was."""
-        if self._cut.get(zone, 0.0) > CUT:
+        if self._cut.get(zone, 0.0) > CUT or (zone in self._warned_zones and now < self._warned_until):
             return True
         unheard = self._unheard.get(zone, ())
         if len(unheard) < MUTE or now - unheard[0] < self._settle // 8:
@@ -699,6 +767,28 @@
         self._cuts = any(share > CUT for share in self._cut.values()) or any(
             len(sent) == MUTE for sent in self._unheard.values()
         )
+        self._cuts = self._cuts or bool(self._warned or self._warned_zones)
+
+    def _on_warned(self, now: int, event: Warned) -> None:
+        """Exception "warned": what many sidecars found is a reason to try elsewhere first, and to leave the trial
+        to the one whose turn it is. It is no verdict: nothing learned here changes, it ends by itself, and where
+        there is nowhere else to go such a server is called as any other.
+        """
+        for server in self._warned:
+            server.warned, server.turn = (), False
+        self._warned_until, self._warned, self._warned_zones = event.until_ns, [], event.zones
+        for name, cls in event.servers:
+            if (server := self._servers.get(name)) is not None:
+                server.warned = (*server.warned, cls)
+                server.turn = name in event.turns
+                self._warned.append(server)
+        for name, since in event.back:
+            if (server := self._servers.get(name)) is not None:
+                server.started = max(server.started, since)
+        self._note_cut(self._set.zone, self._cut.get(self._set.zone, 0.0))
+
+    def _is_warned(self, now: int, server: Server, cls: int = -1) -> bool:
+        return bool(server.warned) and now < self._warned_until and (-1 in server.warned or cls in server.warned)
 
     def _back_off(self, now: int, server: Server) -> None:
         server.retry_at = now + int(server.backoff * (0.75 + 0.5 * self._random()))
@@ -809,8 +899,9 @@
             if server is best or (tried and server in tried):
                 continue
             if server.slot < 0 or self._cuts:
-                if not server.k or self._is_cut(now, server.zone):
-                    if self._may_probe(now, call, server):
+                warned = self._is_warned(now, server, call.number)
+                if warned or not server.k or self._is_cut(now, server.zone):
+                    if self._may_probe(now, call, server, warned):
                         return server, True, 0.0
                     continue
                 if (server.fails and self._shuns(server, call)) or server.slot < 0:
@@ -849,10 +940,11 @@
         able = [
             s for s in self._room
             if self._holds_more(s) and s not in call.tried and not self._is_cut(now, s.zone)
+            and not self._is_warned(now, s, call.number)
             and (s.started <= 0 or self._random() <= self._ramp(s, now))
         ]  # fmt: skip
         if not able:
-            trial = next((s for s in self._up if not s.k and self._may_probe(now, call, s)), None)
+            trial = next((s for s in self._up if not s.k and self._may_probe(now, call, s, False)), None)
             return trial, trial is not None, 0.0
         two = [able[int(self._random() * len(able))] for _ in range(2)]
         best = min(two, key=lambda s: (s.held, s.inflight))
@@ -884,16 +976,23 @@
             return time <= left
         return (server.inflight, time) < (best.inflight, best_time)
 
-    def _may_probe(self, now: int, call: Call, server: Server) -> bool:
+    def _may_probe(self, now: int, call: Call, server: Server, warned: bool) -> bool:
         """A trial at k = 0. All sidecars together must not flood a server that comes back cold, nor may one
-        sidecar spend every call on the dead half of a fleet that was cut in two."""
-        if not self._trial_due(server, now) or self._trials < 1.0:
+        sidecar spend every call on the dead half of a fleet that was cut in two. Where the tier avoids it, only
+        the one whose turn it is tries, once."""
+        if warned:
+            if not server.turn or server.trial:
+                return False
+        elif not self._trial_due(server, now) or self._trials < 1.0:
             return False
         # A call that might die of a failed trial is spared while there is a server that would take it. But
         # aims may be shorter than the connect time-out: no call could spare that, and servers stayed out.
         spare = min(self._set.limits.connect_timeout_ns, call.cls.aim_ns // 2)
         if self._live and call.aim_at - now - call.size * self._stretch < spare:
             return False
+        if warned:
+            server.turn = False
+            return True
         if self._random() >= self._set.invariants.cold_from:
             return False
         self._trials -= 1.0
--- a/covetally/configuration.py
+++ b/covetally/configuration.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from covetally.membership.settings import Plan
     from covetally.operator.schema import Values
+    from covetally.tier.settings import Plan as Tier
 
 log = logging.getLogger("covetally")
 
@@ -58,6 +59,9 @@
         return values
 
 
+TIER = "platform"  # the mode where the operators' file says nothing
+
+
 class Configuration:
     """The three layers and what they make, `config`. ConfigError at the start if they cannot be used; later a bad
     layer changes nothing. `shape` makes of the whole what this process is to have of it: a worker, its share."""
@@ -91,6 +95,11 @@
         """What the operators want of membership; None where the platform's list is believed at once."""
         return _plan(self.values)
 
+    @property
+    def tier(self) -> Tier | None:
+        """How this sidecar takes part in its tier; None where it does not."""
+        return _tier(self.config, self.values)
+
     @property
     def drain_s(self) -> float:
         """How long a drain may take: a call may be older than a change of its class's deadline."""
@@ -132,8 +141,9 @@
         if "workers.count" in managed and "workers.count" not in self.own:
             reason = "takes a supervisor, which this sidecar has only if its own file names a number"
             raise check.OperatorError([check.Problem("workers.count", managed["workers.count"], reason)])
-        tune.changes(self.platform, self.own | managed)
+        changes = tune.changes(self.platform, self.own | managed)
         _plan(self.own | managed)
+        _tier(self._shape.config(replace(self.platform, **changes)), self.own | managed)
 
     def _read_operator(self) -> Values:
         if self._operator is None:
@@ -154,7 +164,9 @@
         try:
             changes = tune.changes(platform, own | managed)
             _plan(own | managed)
-            return self._shape.config(replace(platform, **changes))
+            config = self._shape.config(replace(platform, **changes))
+            _tier(config, own | managed)
+            return config
         except check.OperatorError as error:
             raise ConfigError(str(error)) from None
 
@@ -189,6 +201,25 @@
     return settings.plan(values) if settings.wanted(values) else None
 
 
+def _tier(config: Config, values: Values) -> Tier | None:
+    """As `Configuration.tier`; OperatorError if it cannot be had."""
+    mode = values.get("tier.mode", TIER)
+    limits = sorted(n for n in values if n.startswith(("tier.rate_per_s.", "tier.in_flight.")))
+    may = config.settings.limits.peers and bool(config.peers) and config.peer_listen is not None
+    if mode != "off" and may and 0 <= config.settings.index < len(config.peers):
+        from covetally.tier import settings
+
+        return settings.plan(config.settings, len(config.peers), values)
+    if mode == "on" or limits:
+        from covetally.operator import check
+
+        name = "tier.mode" if mode == "on" else limits[0]
+        reason = "needs peers" if not may else "is off by tier.mode"
+        remedy = "the platform has to allow peers, and to list peer_listen and every sidecar" if not may else "on"
+        raise check.OperatorError([check.Problem(name, values[name], reason, remedy)])
+    return None
+
+
 def _takes_restart(name: str) -> bool:
     from covetally.operator import schema
 
--- a/covetally/interface.py
+++ b/covetally/interface.py
@@ -314,7 +314,31 @@
     server: str
 
 
-Event = Directory | Accept | Response | Begun | Hangup | Heard | Alarm | Suspect | Held
+class Warned(NamedTuple):
+    """What the sidecars of the tier together make of servers and zones, in force until `until_ns`, in place of
+    what was told before. `servers` have a class each, or -1 for all; `turns` are those whose one trial call is
+    this sidecar's; `back` have a new process since that time."""
+
+    until_ns: int
+    servers: tuple[tuple[str, int], ...] = ()
+    zones: tuple[int, ...] = ()
+    turns: tuple[str, ...] = ()
+    back: tuple[tuple[str, int], ...] = ()
+
+
+class Allotted(NamedTuple):
+    """This sidecar's part of a limit on a tenant's calls: so many a second, or in flight, until `until_ns`, then
+    `then`. With no `amount` the limit is no more."""
+
+    tenant: int
+    in_flight: bool
+    amount: float | None
+    until_ns: int = 0
+    then: float = 0.0
+    burst_s: float = 1.0
+
+
+Event = Directory | Accept | Response | Begun | Hangup | Heard | Alarm | Suspect | Held | Warned | Allotted
 
 
 # --- Actions: what the instance wants done ------------------------------------------------------
--- a/covetally/net/peers.py
+++ b/covetally/net/peers.py
@@ -20,14 +20,14 @@
 
     def __init__(self, peers: tuple[Address, ...], peers_all: Address | None) -> None:
         self._transport: asyncio.DatagramTransport | None = None
-        self.on_message: Callable[[bytes], None]
+        self.on_message: Callable[[int, bytes], None]  # the sender's number, what it sent
         self.move(peers, peers_all)
 
     def move(self, peers: tuple[Address, ...], peers_all: Address | None) -> None:
         """Talk to these from here on."""
         self._peers = peers
         self._all = peers_all
-        self._known = frozenset(peers)
+        self._numbers = {peer: number for number, peer in enumerate(peers)}
 
     async def listen(self, address: Address) -> None:
         """Bind; OSError if the address cannot be had."""
@@ -44,10 +44,11 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
-        if addr not in self._known or len(data) > MAX_DATAGRAM:
+        number = self._numbers.get(addr)
+        if number is None or len(data) > MAX_DATAGRAM:
             log.warning("datagram of %d bytes from %s:%d ignored", len(data), *addr)
             return
-        self.on_message(data)
+        self.on_message(number, data)
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is down answers with an ICMP error: nothing to do."""
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -15,6 +15,7 @@
 from covetally.balance import Balancer
 from covetally.interface import (
     Accept,
+    Allotted,
     Action,
     Alarm,
     Belief,
@@ -34,6 +35,7 @@
     Submit,
     Subscribe,
     Suspect,
+    Warned,
 )
 from covetally.net.clock import Clock
 from covetally.net.message import Answer, encode
@@ -101,6 +103,8 @@
         self._taken = 0
         self._sweep: Timer | None = None
         self.on_outcome: Callable[[str, How], None] | None = None  # server, how an attempt there ended
+        # the same, and the class of the call and when the attempt was sent
+        self.on_attempt: Callable[[str, How, int, int], None] | None = None
         self.on_final: Callable[[int, Answer | None], None] | None = None  # class, answer; None: the client left
         self._balancer = Balancer(settings, seed, clock.now())
 
@@ -112,6 +116,10 @@
         """What the module believes of each server."""
         return self._balancer.beliefs(self._clock.now())
 
+    def zones(self) -> dict[str, int]:
+        """The servers on the list, with the zone of each."""
+        return self._balancer.zones()
+
     @property
     def open(self) -> int:
         """Requests that are owed an answer or have attempts out."""
@@ -166,6 +174,14 @@
         """A server does not answer, as other evidence than attempts tells."""
         self._handle(Suspect(server))
 
+    def advise(self, event: Warned | Allotted) -> None:
+        """What the sidecars of the tier together make of servers, or this one's part of a limit."""
+        self._handle(event)
+
+    def demand(self) -> dict[tuple[int, bool], int]:
+        """What was wanted of each limit since this was last read; see the module."""
+        return self._balancer.demand()
+
     def holds(self, server: str, change: int) -> None:
         """So many more connections of another protocol are open to a server, or fewer."""
         self._handle(Held(server, change))
@@ -256,6 +272,8 @@
                 answer.switched.sock.close()  # nobody is left to have it
         if self.on_outcome is not None:
             self.on_outcome(action.server, outcome.how)
+        if self.on_attempt is not None:
+            self.on_attempt(action.server, outcome.how, call.cls, sent_ns)
         now = self._clock.now()
         passed_ns = now - sent_ns
         lag_ns = outcome.lag_ns or passed_ns
--- a/covetally/operator/example.py
+++ b/covetally/operator/example.py
@@ -15,6 +15,8 @@
     "classes.*.deadline_ms": "1000",
     "discovery.address": '"10.2.0.1:8500"',
     "workers.count": "4",
+    "tier.rate_per_s.*": "300",
+    "tier.in_flight.*": "40",
     "process.listen": '"10.0.0.4:3000"',
     "control.agent": '"unix:/run/cindersail/instances.sock"',
     "control.name": '"n3"',
@@ -34,6 +36,7 @@
     "control.keep": '"/var/lib/cindersail/n3.json"',
 }
 _FREE = {"classes": "module-lookup", "control.labels": "zone"}
+_FREE |= {"tier.rate_per_s": "officina-brescia", "tier.in_flight": "officina-brescia"}
 
 HEAD = """\
 # The operators' file: what the platform's configuration does not say, or what is to hold in its place.
@@ -62,7 +65,7 @@
     """The table and the name within it, with an example in the free part."""
     table, _, name = key.name.rpartition(".")
     table = table.replace("*", _FREE["classes"])
-    return table, _FREE["control.labels"] if name == "*" else name
+    return table, _FREE[table] if name == "*" else name
 
 
 def _default(key: Key) -> str:
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -9,6 +9,7 @@
 import asyncio
 import gc
 import logging
+import secrets
 import signal
 import socket
 from collections.abc import Callable
@@ -32,7 +33,9 @@
     from covetally.control.instance import Instance
     from covetally.control.manager import Manager
     from covetally.operator.schema import Values
+    from covetally.tier.shell import Shell
 
+TIER_MARK, TIER_LEAST = 0x54, 18  # see covetally/tier/wire.py
 log = logging.getLogger("covetally")
 
 
@@ -67,6 +70,7 @@
         self.serving = False  # it takes requests
         self.on_ready: Callable[[], None] | None = None
         self.roster: Roster | None = None
+        self.tier: Shell | None = None
         self.registrar: Registrar | None = None
         self.clock = clock = Clock()
         settings = config.settings
@@ -148,9 +152,10 @@
             known = News(0, True, [])
         self.discovery.on_list = self._listed
         self.discovery.on_failure = lambda: self.sidecar.directory(Directory("FAILED"))
-        self.peers.on_message = self.sidecar.heard
+        self.peers.on_message = self._datagram
         if config.peer_listen is not None:
             await _bind("peer_listen", lambda: self.peers.listen(config.peer_listen))
+        self._retier()
         plan = self.configuration.plan
         if plan is None:
             self._tell(known, "SAVED")
@@ -180,6 +185,40 @@
         # Upstream first: the module may submit to a server in the same breath as it hears of it.
         self.upstream.told(news.entries, news.whole)
         self.sidecar.directory(Directory(scope, tuple(entry for entry, _ in news.entries)))
+        if self.tier is not None:
+            self.tier.listed(self.sidecar.zones())
+
+    # --- the tier -------------------------------------------------------------------------------
+
+    def _datagram(self, sender: int, data: bytes) -> None:
+        """The module's rumours have 8 bytes; the tier's messages begin with their mark and have more."""
+        if self.tier is not None and len(data) > TIER_LEAST and data[0] == TIER_MARK:
+            self.tier.heard(sender, data)
+        else:
+            self.sidecar.heard(data)
+
+    def _retier(self) -> None:
+        """Take part in the tier as is wanted now."""
+        plan = self.configuration.tier
+        if plan is None:
+            if self.tier is not None:
+                self.tier.stop()
+                self.tier = self.sidecar.on_attempt = None
+        elif self.tier is not None:
+            self.tier.change(plan.size, plan.held)
+        else:
+            from covetally.tier.shell import Parts, Shell
+
+            parts = Parts(self.clock.now, self.peers.send, self.sidecar.advise, self.sidecar.demand)
+            life, seed = secrets.randbits(32), self.config.seed
+            self.tier = Shell(plan.me, plan.size, life, seed, plan.site, plan.held, parts)
+            self.sidecar.on_attempt = self.tier.outcome
+            self.tier.listed(self.sidecar.zones())
+            self.tier.start()
+
+    async def tier_table(self) -> dict[str, Any]:
+        """What this sidecar knows of its tier, for operators."""
+        return self.tier.table() if self.tier is not None else {"off": "the tier is off here"}
 
     # --- where the list of nodes comes from -----------------------------------------------------
 
@@ -237,6 +276,8 @@
             self.manager.goodbye()
         await self.frontend.drain(self.configuration.drain_s, accept=not alone)
         self.discovery.stop()
+        if self.tier is not None:
+            self.tier.stop()
         if self.roster is not None:
             self.roster.stop()
             await self.roster.saved()
@@ -266,6 +307,7 @@
         self.config = config = self.configuration.config
         self.discovery.move(config.discovery)
         self.peers.move(config.peers, config.peers_all)
+        self._retier()
         self.sidecar.retune(config.settings)
         self.upstream.retune(config.settings, config.server_connections)
         self.frontend.retune(config.settings, config.client_connections, config.body_memory)
--- a/covetally/tier/members.py
+++ b/covetally/tier/members.py
@@ -32,6 +32,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from covetally.tier.facts import Fact
+
 SECOND = 1_000_000_000
 WITNESSES = 2  # accusers who convict without an own call
 LEAP = 64  # an incarnation is believed from hearsay up to so much over the one known
@@ -56,6 +58,8 @@
     ANSWER = 2  # I am
     ASK_FOR = 3  # ask `target` for me
     TELL = 4  # nothing but what it carries
+    WANT = 5  # lend me of a limit
+    GRANT = 6  # I do
 
 
 class Rumour(NamedTuple):
@@ -69,9 +73,20 @@
     witness: int
 
 
+class Loan(NamedTuple):
+    """What a WANT or a GRANT says of the limit whose name has this mark; see `limits`. Of a GRANT, `amount` is
+    all that is lent, of a WANT what each member is to lend more."""
+
+    mark: int
+    seq: int
+    keep: float
+    amount: float
+
+
 class Message(NamedTuple):
     """One datagram. The sender's number, life and incarnation are its own word on itself. `number` is given back
-    in the answer; `target` is whom an ASK_FOR is about, and in an answer the one who answered."""
+    in the answer; `target` is whom an ASK_FOR is about, and in an answer the one who answered. The sender's own
+    facts, and its word on a limit, are for other modules."""
 
     kind: Kind
     sender: int
@@ -80,10 +95,12 @@
     number: int
     target: int
     rumours: tuple[Rumour, ...] = ()
+    facts: tuple[Fact, ...] = ()
+    loan: Loan | None = None
 
 
 class Send(NamedTuple):
-    """A message for a peer."""
+    """A message for a peer, or with -1 for all."""
 
     peer: int
     message: Message
@@ -160,6 +177,10 @@
 
     # --- what is known --------------------------------------------------------------------------
 
+    def word(self, kind: Kind, facts: tuple[Fact, ...] = (), loan: Loan | None = None) -> Message:
+        """A message for other modules' words, with nothing on who is there but this member's own word."""
+        return Message(kind, self.me, self.life, self.incarnation, 0, self.me, (), facts, loan)
+
     @property
     def size(self) -> int:
         """Members of the tier, this one among them."""
--- a/covetally/workers/member.py
+++ b/covetally/workers/member.py
@@ -64,7 +64,7 @@
 
     def own(self, values: Values) -> Values:
         """The operators' settings as they hold here."""
-        kept = {n: v for n, v in values.items() if self.first or not n.startswith("register.")}
+        kept = {n: v for n, v in values.items() if self.first or not n.startswith(("register.", "tier."))}
         if "roster.keep" in kept and not self.first:
             kept["roster.keep"] = f"{kept['roster.keep']}.{self.place}"
         return kept
