--- a/covetally/rig/world.py
+++ b/covetally/rig/world.py
@@ -18,6 +18,7 @@
 from covetally.rig import site
 from covetally.rig.account import MS, Account, NodePlace
 from covetally.rig.child import Child, Row
+from covetally.rig.datagrams import Datagrams
 from covetally.rig.node import Spec
 
 _worlds = itertools.count()
@@ -39,6 +40,7 @@
     seed: int = 1
     memory_mb: int = 96
     sockets: int = 512
+    peers: bool = False  # whether the sidecars may talk to each other, over `World.datagrams`
 
 
 @dataclass(slots=True)
@@ -93,6 +95,7 @@
         self.nodes: dict[str, NodeProcess] = {}
         self.instances: dict[str, InstanceProcess] = {}
         self.discovery: Child
+        self.datagrams: Datagrams | None = None
         self._folder = tempfile.TemporaryDirectory(prefix="cindersail-")
         self.folder = Path(self._folder.name)
         self.on_moved: dict[str, asyncio.Future[int]] = {}
@@ -112,6 +115,9 @@
     async def _start(self) -> None:
         shape = self.shape
         names = [f"a{i}" for i in range(shape.instances)]
+        if shape.peers:
+            self.datagrams = Datagrams(1 + os.getpid() % 250, shape.seed)
+            self.datagrams.start()
         self.discovery = Child("covetally.rig.discovery", {"instances": names}, self._discovery_row)
         up = await self.discovery.start()
         await asyncio.gather(*(self.add_node(f"n{i}", i) for i in range(shape.nodes)))
@@ -127,6 +133,9 @@
                 "limits": {"cores": 1.0, "memory_mb": shape.memory_mb, "sockets": shape.sockets},
                 "settings": site.settings(i, shape.instances, shape.cold_from, shape.cold_ms),
             }
+            if self.datagrams is not None:
+                config |= self.datagrams.configure(i, len(names))
+                config["settings"]["limits"]["peers"] = True
             self.instances[name] = InstanceProcess(name, address, folder, config)
 
     async def start_instances(self) -> None:
@@ -139,6 +148,8 @@
         if hasattr(self, "discovery"):
             children.append(self.discovery)
         await asyncio.gather(*(child.kill() for child in children))
+        if self.datagrams is not None:
+            self.datagrams.stop()
         self._folder.cleanup()
 
     # --- nodes ----------------------------------------------------------------------------------
--- a/covetally/tier/settings.py
+++ b/covetally/tier/settings.py
@@ -36,8 +36,8 @@
     least_s = 2 * (LOANS_NS / SECOND + 2 * delay_ms / 1000)
     if lease_s < least_s:
         reason = (
-            f"a loan is asked for again when half of its time is left: {LOANS_NS / SECOND:g} s until that is seen "
-            f"and 2 x {delay_ms:g} ms on the way do not fit into {lease_s / 2:g} s"
+            f"a loan is asked for again when half of its time is left: {LOANS_NS / SECOND:g} s until that "
+            f"is seen and 2 x {delay_ms:g} ms on the way do not fit into {lease_s / 2:g} s"
         )
         problems.append(Problem("tier.lease_s", lease_s, reason, f"at least {least_s:g}"))
     tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
@@ -60,7 +60,7 @@
         )  # fmt: skip
         held.append(Held(tenants[tenant], rule))
     if held and "workers.count" in values and values["workers.count"] != 1:
-        reason = "a limit is one process's to keep, and each of several workers would use all of this sidecar's part"
+        reason = "a limit is one process's to keep: each worker would use all of this sidecar's part"
         problems.append(Problem("workers.count", values["workers.count"], reason, "1, or no tier limits"))
     if problems:
         raise OperatorError(problems)
