--- a/covetally/tier/verdicts.py
+++ b/covetally/tier/verdicts.py
@@ -35,7 +35,7 @@
 
 MS = 1_000_000
 WITNESSES = 3  # members whose accusations make a verdict
-WELL_WEIGHS = 2  # accusations that one WELL word outweighs
+WELL_WEIGHS = 8  # accusations that one WELL word outweighs
 SHARE = 0.25  # of the nodes, which may be avoided at a time
 ZONES = 0.5  # of the nodes, which may stand in zones that are avoided
 POINTS = 2  # own failures in a row that are an accusation; one, where no connection comes up
@@ -208,7 +208,7 @@
             own.points, own.first, own.ended = 0, now, False
         own.points, own.last, own.ended = own.points + 1, now, own.ended or ended
         accused = any(s.fact.word and s.fact.detail == cls + 1 for s in self.facts.about(now, What.NODE, mark))
-        if own.points >= POINTS or ended or accused:
+        if own.points >= POINTS or accused:
             self._say_soon(now, What.NODE, mark, cls + 1, Word.ENDED if own.ended else Word.FAILS)
 
     def heard(self, said: list[Said]) -> None:
