--- a/covetally/tier/facts.py
+++ b/covetally/tier/facts.py
@@ -77,7 +77,7 @@
 
     def __init__(self, me: int, zone: int) -> None:
         self.me, self.zone = me, zone
-        self._counter = 0
+        self._counter = self._told = 0
         self._owners: dict[int, _Owner] = {me: _Owner(0, 0)}
         self._about: dict[tuple[What, int], dict[tuple[int, int], Said]] = {}
 
@@ -95,6 +95,12 @@
         said = sorted(own.values(), key=lambda s: (s.fact.what, -s.fact.counter))[:DIGEST]
         return tuple(s.fact._replace(age_ns=now - s.at) for s in said)
 
+    def news(self, now: int) -> tuple[Fact, ...]:
+        """This member's own facts that `news` has not given yet, for one word to all."""
+        new = [fact for fact in self.digest(now) if fact.counter > self._told]
+        self._told = self._counter
+        return tuple(new)
+
     def heard(self, now: int, owner: int, life: int, incarnation: int, facts: tuple[Fact, ...]) -> list[Said]:
         """What a member has told; returns what of it is new."""
         if owner == self.me or not facts:
--- a/covetally/tier/node.py
+++ b/covetally/tier/node.py
@@ -22,7 +22,7 @@
 from covetally.tier.wire import Garbage, decode, encode
 
 ALL_PEERS = -1
-NEWS_PER_S = 40.0  # words to all, by the whole tier
+NEWS_PER_S = 20.0  # words to all, by the whole tier
 NEWS_BURST = 3.0  # words that a member that was silent may send at once
 HEARD_PER_S = 200.0  # datagrams read of one sender
 LOANS_NS = SECOND // 4  # how often limits are looked at
@@ -224,8 +224,7 @@
         if self.site.verdicts and (self.verdicts.tick(now) or self._told_late):
             self._told_late = not self._news.take(now)
             if not self._told_late:
-                data = encode(self.members.word(Kind.TELL, self.facts.digest(now)))
-                out.append(Datagram(ALL_PEERS, data))
+                out.append(Datagram(ALL_PEERS, encode(self.members.word(Kind.TELL, self.facts.news(now)))))
         due = [self.members.due]
         if (at := self.verdicts.due()) is not None and self.site.verdicts:
             due.append(max(at, now + SECOND // 100))
--- a/covetally/tier/verdicts.py
+++ b/covetally/tier/verdicts.py
@@ -98,7 +98,6 @@
     number: int = 0
     tried_by: int = -1
     turn: bool = False
-    ended: bool = False
     next: int = 0  # when this member would make the next trial
 
 
@@ -138,6 +137,7 @@
         self._verdicts: dict[tuple[int, int], _Verdict] = {}  # by mark and class
         self._due: dict[Subject, _Due] = {}
         self._back: dict[str, int] = {}
+        self._ended: dict[int, int] = {}  # by mark: when a verdict last said that its process is not there
         self._touched: set[int] = set()  # marks of nodes of which something new was said
         self._sweep_at = 0
         self._advice = Advice()
@@ -150,6 +150,7 @@
         self._nodes = _Nodes({crc32(name.encode()): name for name in nodes}, dict(nodes))
         self._own = {key: own for key, own in self._own.items() if key[0] in nodes}
         self._verdicts = {key: v for key, v in self._verdicts.items() if key[0] in self._nodes.names}
+        self._ended = {mark: at for mark, at in self._ended.items() if mark in self._nodes.names}
         self._silent = {
             zone: {name: at for name, at in silent.items() if name in nodes}
             for zone, silent in self._silent.items()
@@ -171,7 +172,9 @@
             return
         if how in (How.TIMEOUT, How.CONNECT_FAILED):
             self._unanswered(now, server, zone, sent)
-        if how in (How.CONNECT_FAILED, How.RESET, How.TIMEOUT):
+        if how is How.TIMEOUT:
+            return  # a queue shows so, too: what all are told to leave alone then is capacity that all need
+        if how in (How.CONNECT_FAILED, How.RESET):
             self._failed(now, server, mark, ALL, how is How.CONNECT_FAILED)
         else:
             self._failed(now, server, mark, cls, False)
@@ -332,7 +335,8 @@
                 verdict = self._verdicts[key] = _Verdict(now, now)
                 verdict.next = self._next_trial(key, verdict)
                 self.made += 1
-            verdict.ended |= any(s.fact.word is Word.ENDED for s in fails)
+            if any(s.fact.word is Word.ENDED for s in fails):
+                self._ended[mark] = now
             if verdict.pause != HOLD_NS and any(s.at >= verdict.tried for s in well):
                 verdict.pause = HOLD_NS  # the trial went well: the next one shall soon say the same
                 verdict.next = self._next_trial(key, verdict)
@@ -347,7 +351,7 @@
     def _hear_back(self, now: int, mark: int) -> None:
         """One member's word that a node is new is believed where that node was gone by the verdict of many."""
         name = self._nodes.names[mark]
-        ended = any(v.ended for key, v in self._verdicts.items() if key[0] == mark)
+        ended = now - self._ended.get(mark, -LASTS_NS) < LASTS_NS
         for said in self.facts.about(now, What.BACK, mark):
             if ended and said.owner != self.me and said.at > self._back.get(name, 0) + RECENT_NS:
                 self._back[name] = said.at
