--- a/covetally/cli/main.py
+++ b/covetally/cli/main.py
@@ -66,10 +66,11 @@
 @click.option("--seed", type=int, default=1, show_default=True, help="Of the schedule and the nodes.")
 @click.option("--managed", is_flag=True, help="Under an agent instead, to try the other commands on.")
 @click.option("--registry", is_flag=True, help="Managed, and with the nodes in a Eureka registry.")
+@click.option("--tier", "peers", is_flag=True, help="Managed, and the sidecars hold a limit together.")
 @click.option("--json", "as_json", is_flag=True, help="The account for machines; progress goes to stderr.")
 def demo(
     seconds: float | None, nodes: int, instances: int, rate: float, seed: int, managed: bool, registry: bool,
-    as_json: bool,
+    peers: bool, as_json: bool,
 ) -> None:  # fmt: skip
     """Play nodes, sidecars and clients on this machine, with troubles, and judge the account.
 
@@ -78,8 +79,8 @@
     from covetally.rig.demo import play, play_managed
     from covetally.rig.world import Shape
 
-    shape = Shape(nodes=nodes, instances=instances, seed=seed)
-    if managed or registry:
+    shape = Shape(nodes=nodes, instances=instances, seed=seed, peers=peers)
+    if managed or registry or peers:
         sys.exit(play_managed(shape, seconds or 600.0, rate, registry))
     sys.exit(play(shape, seconds or 29.0, rate, as_json))
 
--- a/covetally/configuration.py
+++ b/covetally/configuration.py
@@ -59,9 +59,6 @@
         return values
 
 
-TIER = "platform"  # the mode where the operators' file says nothing
-
-
 class Configuration:
     """The three layers and what they make, `config`. ConfigError at the start if they cannot be used; later a bad
     layer changes nothing. `shape` makes of the whole what this process is to have of it: a worker, its share."""
@@ -202,22 +199,25 @@
 
 
 def _tier(config: Config, values: Values) -> Tier | None:
-    """As `Configuration.tier`; OperatorError if it cannot be had."""
-    mode = values.get("tier.mode", TIER)
-    limits = sorted(n for n in values if n.startswith(("tier.rate_per_s.", "tier.in_flight.")))
-    may = config.settings.limits.peers and bool(config.peers) and config.peer_listen is not None
-    if mode != "off" and may and 0 <= config.settings.index < len(config.peers):
-        from covetally.tier import settings
-
-        return settings.plan(config.settings, len(config.peers), values)
-    if mode == "on" or limits:
-        from covetally.operator import check
-
-        name = "tier.mode" if mode == "on" else limits[0]
-        reason = "needs peers" if not may else "is off by tier.mode"
-        remedy = "the platform has to allow peers, and to list peer_listen and every sidecar" if not may else "on"
-        raise check.OperatorError([check.Problem(name, values[name], reason, remedy)])
-    return None
+    """As `Configuration.tier`; OperatorError if it cannot be had. A limit asks for the tier by itself."""
+    asking = sorted(n for n in values if n.startswith(("tier.rate_per_s.", "tier.in_flight.")))
+    if values.get("tier.mode") == "on":
+        asking.append("tier.mode")
+    if not asking:
+        return None
+    from covetally.operator import check
+
+    reason = remedy = ""
+    if values.get("tier.mode") == "off":
+        reason, remedy = "is off by tier.mode", "tier.mode = 'on'"
+    elif not (config.settings.limits.peers and config.peers and config.peer_listen is not None):
+        reason = "needs peers"
+        remedy = "the platform has to allow them, and to list peer_listen and every sidecar"
+    if reason:
+        raise check.OperatorError([check.Problem(asking[0], values[asking[0]], reason, remedy)])
+    from covetally.tier import settings
+
+    return settings.plan(config.settings, len(config.peers), values)
 
 
 def _takes_restart(name: str) -> bool:
--- a/covetally/operator/example.py
+++ b/covetally/operator/example.py
@@ -15,6 +15,7 @@
     "classes.*.deadline_ms": "1000",
     "discovery.address": '"10.2.0.1:8500"',
     "workers.count": "4",
+    "tier.mode": '"on"',
     "tier.rate_per_s.*": "300",
     "tier.in_flight.*": "40",
     "process.listen": '"10.0.0.4:3000"',
--- a/covetally/tier/verdicts.py
+++ b/covetally/tier/verdicts.py
@@ -172,10 +172,12 @@
             return
         if how in (How.TIMEOUT, How.CONNECT_FAILED):
             self._unanswered(now, server, zone, sent)
-        if how is How.TIMEOUT:
-            return  # a queue shows so, too: what all are told to leave alone then is capacity that all need
-        if how in (How.CONNECT_FAILED, How.RESET):
-            self._failed(now, server, mark, ALL, how is How.CONNECT_FAILED)
+        if how in (How.TIMEOUT, How.RESET):
+            # A queue shows as the first, a link as the second, and what all are told to leave alone is capacity
+            # that all need: measured, see docs/design/tier.md.
+            return
+        if how is How.CONNECT_FAILED:
+            self._failed(now, server, mark, ALL, True)
         else:
             self._failed(now, server, mark, cls, False)
 
@@ -211,7 +213,7 @@
             own.points, own.first, own.ended = 0, now, False
         own.points, own.last, own.ended = own.points + 1, now, own.ended or ended
         accused = any(s.fact.word and s.fact.detail == cls + 1 for s in self.facts.about(now, What.NODE, mark))
-        if own.points >= POINTS or accused:
+        if own.points >= POINTS or ended or accused:
             self._say_soon(now, What.NODE, mark, cls + 1, Word.ENDED if own.ended else Word.FAILS)
 
     def heard(self, said: list[Said]) -> None:
