--- a/covetally/tier/limits.py
+++ b/covetally/tier/limits.py
@@ -23,7 +23,8 @@
                                    renewal, and for `each` more from whoever has it
     Grant(seq, amount)             so much is lent in all, from when the Want with this number was sent
 
-A borrower lowers first and tells then, and takes no Grant that is older than its last lowering. A lender takes no
+A borrower lowers first and tells then, and takes no Grant that is older than its last lowering, or for a life
+before. A lender takes no
 Want that is older than the last one it took from that life of that borrower.
 """
 
@@ -36,6 +37,7 @@
 DRIFT = 0.01  # by so much at most a clock runs faster or slower than another
 KEEP = 0.25  # of its own part, which a member never lends
 SPARE = 1.25  # times its demand that a member wants to have
+FIRST_PAUSE_NS = 250_000_000  # after a Want that brought nothing, then doubled, to half a lease
 LEAST = 1e-3  # of its own part: loans smaller than this are not worth a datagram
 
 
@@ -101,19 +103,22 @@
 
 
 class Share:
-    """One member's part of one limit."""
+    """One member's part of one limit. `life` is its member's: the numbers of its Wants begin with it, so that a
+    Grant which was on its way to the life before is none of this one's."""
 
-    def __init__(self, rule: Rule, now: int) -> None:
+    def __init__(self, rule: Rule, now: int, life: int) -> None:
         self.rule = rule
         self.fence = now + rule.fence_ns
         self.demand = 0.0  # what it could use, of late
         self.lent_out = self.asked = 0  # counters
         self._lent: dict[tuple[int, int], _Lent] = {}  # by borrower and its life
         self._borrowed: dict[int, _Borrowed] = {}  # by lender
-        self._seq = 0
+        self._seq = life << 32
         self._sent: dict[int, int] = {}  # when each Want was sent that may still be answered
         self._lowered = 0  # the last Want that lowered what is borrowed
         self._round = 0  # Wants in a row that were not filled
+        self._pause = self._ask_at = 0  # who gets nothing asks more and more seldom
+        self._had = self._needed = 0.0  # at the last Want
 
     # --- what may be used -----------------------------------------------------------------------
 
@@ -169,10 +174,17 @@
         renew = any(b.lapse - now < rule.lease_ns // 2 for b in self._borrowed.values())
         lower = keep < 0.5
         if need <= LEAST * rule.own:
-            self._round = 0
+            self._round = self._pause = 0
             if not (renew or lower):
                 return None
             need = 0.0
+        elif borrowed > self._had or need > 2 * self._needed:
+            self._pause = 0
+        elif not renew and now < self._ask_at:
+            return None
+        else:
+            self._pause = min(max(2 * self._pause, FIRST_PAUSE_NS), rule.lease_ns // 2)
+        self._had, self._needed, self._ask_at = borrowed, need, now + self._pause
         if lower:
             for b in self._borrowed.values():
                 b.amount *= keep
--- a/covetally/tier/node.py
+++ b/covetally/tier/node.py
@@ -74,7 +74,7 @@
         self.members = Members(me, size, life, self._random.getrandbits(64), now, site.timing)
         self.facts = Facts(me, site.zone % 256)
         self.verdicts = Verdicts(self.facts, site.zones, self._random.random, self.members.serving)
-        self.shares = {crc32(rule.name.encode()): Share(rule, now) for rule in site.rules}
+        self.shares = {crc32(rule.name.encode()): Share(rule, now, life) for rule in site.rules}
         self._news = Allowance(NEWS_PER_S / size, NEWS_BURST, now)
         self._heard: dict[int, Allowance] = {}
         self._told_late = False
@@ -154,7 +154,7 @@
         self.shares = {mark: share for mark, share in self.shares.items() if mark in wanted}
         for mark, rule in wanted.items():
             if mark not in self.shares:
-                self.shares[mark] = Share(rule, now)
+                self.shares[mark] = Share(rule, now, self.members.life)
             elif self.shares[mark].rule != rule:
                 self.shares[mark].change(now, rule)
 
