--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,10 @@
 import subprocess
 import sys
 
-ALL = ("rollout", "reconnect", "control", "roster", "path", "overload", "crowd", "workers", "tier")
+ALL = (
+    "rollout", "reconnect", "control", "roster", "path", "overload", "crowd", "workers",
+    "tier", "limits", "verdicts", "sidecars",
+)  # fmt: skip
 
 
 def main() -> int:
--- a/covetally/rig/discovery.py
+++ b/covetally/rig/discovery.py
@@ -4,7 +4,8 @@
 
 Each instance has a port of its own, so that the account knows what was told to whom, and when: the row
 ["told", instance, at, [[node, lifecycle, startedAtMs], ...]] is written with the answer.
-Commands: {"set": entry}, {"remove": id}, {"silent": true}, {"move": instance}, {"garble": true}.
+Commands: {"set": entry}, {"remove": id}, {"silent": true}, {"move": instance}, {"garble": true},
+{"hosts": {instance: {node: address}}}: where an instance is told that nodes listen.
 """
 
 from __future__ import annotations
@@ -36,6 +37,7 @@
         self._servers: dict[str, asyncio.Server] = {}
         self._wires: dict[Wire, str] = {}
         self.silent = False  # takes calls and answers none
+        self.hosts: dict[str, dict[str, str]] = {}  # by instance and node, in place of the entry's hostPort
         self.garble = False  # answers with what is no list
 
     async def listen(self, instance: str) -> int:
@@ -119,7 +121,9 @@
             return
         every = [*self._entries.values()] if whole else [*self._entries.values(), *self._left.values()]
         told = every if whole else [e for e in every if self._changed[e["instanceId"]] > index]
-        body = {"generation": self._generation, "reset": whole, "instances": told}
+        hosts = self.hosts.get(instance, {})
+        there = [e | {"hostPort": hosts.get(e["instanceId"], e["hostPort"])} for e in told]
+        body = {"generation": self._generation, "reset": whole, "instances": there}
         rows = [[e["instanceId"], e["lifecycle"], e.get("startedAtMs", 0)] for e in told]
         wire.write(answer(200, json.dumps(body).encode(), {"Content-Type": "application/json"}))
         self._tell(["told", instance, time.monotonic_ns(), rows])
@@ -132,6 +136,8 @@
     async def command(words: dict[str, Any]) -> None:
         if "set" in words:
             discovery.set(words["set"])
+        if "hosts" in words:
+            discovery.hosts |= words["hosts"]
         if "remove" in words:
             discovery.remove(words["remove"])
         if "garble" in words:
--- a/covetally/rig/faults.py
+++ b/covetally/rig/faults.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from covetally.rig.account import SECOND, Account
+from covetally.rig.relay import Fault
 from covetally.rig.schedule import Schedule, Step
 from covetally.rig.world import World
 
@@ -71,6 +72,10 @@
                     if process is not None:
                         await process.wait()
                 await asyncio.gather(*(self._world.start_instance(name) for name in names))
+            case "tcp":
+                ends = [f"n{n}" for n in step.to] or ["discovery"]
+                for link in ((name, end) for name in names for end in ends):
+                    self._world.links[link].set(Fault(step.fault))
             case "demand":
                 pass
             case _:
--- a/covetally/rig/schedule.py
+++ b/covetally/rig/schedule.py
@@ -30,7 +30,8 @@
 @dataclass(frozen=True, slots=True)
 class Step:
     """At `at` seconds, `do`: link (what `members` send `to` those meets `link` from now on), heal, kill, start,
-    stop, go_on (of `members`), demand (each of `members` could use `amount`), leave."""
+    stop, go_on (of `members`), demand (each of `members` could use `amount`), leave, and with real processes tcp
+    (connections of `members` to the nodes `to`, or with none to discovery, meet `fault`, of `relay.Fault`)."""
 
     at: float
     do: str
@@ -38,6 +39,7 @@
     to: tuple[int, ...] = ()
     link: Link = field(default_factory=Link)
     amount: float = 0.0
+    fault: str = ""
 
 
 Schedule = tuple[Step, ...]
--- a/covetally/rig/world.py
+++ b/covetally/rig/world.py
@@ -19,6 +19,7 @@
 from covetally.rig.account import MS, Account, NodePlace
 from covetally.rig.child import Child, Row
 from covetally.rig.datagrams import Datagrams
+from covetally.rig.relay import Relay
 from covetally.rig.node import Spec
 
 _worlds = itertools.count()
@@ -40,6 +41,7 @@
     seed: int = 1
     memory_mb: int = 96
     sockets: int = 512
+    links: bool = False  # whether each instance reaches each node, and discovery, by a relay of its own
     peers: bool = False  # whether the sidecars may talk to each other, over `World.datagrams`
 
 
@@ -96,6 +98,7 @@
         self.instances: dict[str, InstanceProcess] = {}
         self.discovery: Child
         self.datagrams: Datagrams | None = None
+        self.links: dict[tuple[str, str], Relay] = {}  # by instance and node, or "discovery"
         self._folder = tempfile.TemporaryDirectory(prefix="cindersail-")
         self.folder = Path(self._folder.name)
         self.on_moved: dict[str, asyncio.Future[int]] = {}
@@ -133,11 +136,24 @@
                 "limits": {"cores": 1.0, "memory_mb": shape.memory_mb, "sockets": shape.sockets},
                 "settings": site.settings(i, shape.instances, shape.cold_from, shape.cold_ms),
             }
+            if shape.links:
+                config["discovery"] = await self._link(name, up[1][name])
             if self.datagrams is not None:
                 config |= self.datagrams.configure(i, len(names))
                 config["settings"]["limits"]["peers"] = True
             self.instances[name] = InstanceProcess(name, address, folder, config)
 
+    async def _link(self, name: str, discovery: int) -> str:
+        """Relays from an instance to discovery and to all nodes; where it is to ask for the list."""
+        for node in self.nodes.values():
+            host, _, port = node.entry["hostPort"].rpartition(":")
+            self.links[name, node.entry["instanceId"]] = Relay((host, int(port)))
+        self.links[name, "discovery"] = Relay(("127.0.0.1", discovery))
+        mine = {to: relay for (instance, to), relay in self.links.items() if instance == name}
+        at = {to: "{}:{}".format(*await relay.start()) for to, relay in mine.items()}
+        self.discovery.command(hosts={name: at})
+        return at["discovery"]
+
     async def start_instances(self) -> None:
         """Start every sidecar and wait until all are ready."""
         await asyncio.gather(*(self.start_instance(name) for name in self.instances))
@@ -150,6 +166,7 @@
         await asyncio.gather(*(child.kill() for child in children))
         if self.datagrams is not None:
             self.datagrams.stop()
+        await asyncio.gather(*(relay.stop() for relay in self.links.values()))
         self._folder.cleanup()
 
     # --- nodes ----------------------------------------------------------------------------------
@@ -181,6 +198,9 @@
         }  # fmt: skip
         seen = self.nodes[name].seen if name in self.nodes else Counter()
         self.nodes[name] = NodeProcess(child, spec, entry, number, seen)
+        for (_, to), relay in self.links.items():
+            if to == name:
+                relay.target = ("127.0.0.1", port)
         self.discovery.command(set=entry)
 
     async def kill_node(self, name: str) -> None:
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -185,6 +185,27 @@
     run(main)
 
 
+def test_one_sidecar_cut_from_every_node_and_one_from_discovery_convict_no_node_for_the_others():
+    async def main(world: Managed, faults: Faults) -> None:
+        load = load_of(world)
+        playing = asyncio.create_task(load.play(planned(10.0, lambda at: int(at * 50) % SIZE, 150.0)))
+        every = tuple(range(len(world.nodes)))
+        await asyncio.sleep(2)
+        await faults.play((Step(0, "tcp", (0,), every, fault="cut"), Step(0, "tcp", (1,), fault="black hole")))
+        for _ in range(30):
+            found = await tables(world, faults)
+            avoided = {v["of"] for t in found.values() for v in t["verdicts"] if v["avoided"]}
+            assert not avoided, faults.history[-1]
+            await asyncio.sleep(0.2)
+        accused = {n for t in found.values() for v in t["verdicts"] for n in v["accused_by"]}
+        assert accused == {0}
+        await faults.play((Step(0, "tcp", (0,), every, fault="none"), Step(0, "tcp", (1,), fault="none")))
+        await playing
+        assert world.account.judge().kept, world.account.judge().breaks[:3]
+
+    run(main, links=True)
+
+
 def test_garbage_a_flood_and_a_newer_version_harm_nobody():
     """Ten thousand datagrams a second from one peer's address, of all kinds, with rumours that cannot be true."""
 
