--- a/covetally/rig/world.py
+++ b/covetally/rig/world.py
@@ -18,6 +18,8 @@
 from covetally.rig import site
 from covetally.rig.account import MS, Account, NodePlace
 from covetally.rig.child import Child, Row
+from covetally.rig.datagrams import Datagrams
+from covetally.rig.relay import Relay
 from covetally.rig.node import Spec
 
 _worlds = itertools.count()
@@ -39,6 +41,8 @@
     seed: int = 1
     memory_mb: int = 96
     sockets: int = 512
+    links: bool = False  # whether each instance reaches each node, and discovery, by a relay of its own
+    peers: bool = False  # whether the sidecars may talk to each other, over `World.datagrams`
 
 
 @dataclass(slots=True)
@@ -93,6 +97,8 @@
         self.nodes: dict[str, NodeProcess] = {}
         self.instances: dict[str, InstanceProcess] = {}
         self.discovery: Child
+        self.datagrams: Datagrams | None = None
+        self.links: dict[tuple[str, str], Relay] = {}  # by instance and node, or "discovery"
         self._folder = tempfile.TemporaryDirectory(prefix="cindersail-")
         self.folder = Path(self._folder.name)
         self.on_moved: dict[str, asyncio.Future[int]] = {}
@@ -112,6 +118,9 @@
     async def _start(self) -> None:
         shape = self.shape
         names = [f"a{i}" for i in range(shape.instances)]
+        if shape.peers:
+            self.datagrams = Datagrams(1 + os.getpid() % 250, shape.seed)
+            self.datagrams.start()
         self.discovery = Child("covetally.rig.discovery", {"instances": names}, self._discovery_row)
         up = await self.discovery.start()
         await asyncio.gather(*(self.add_node(f"n{i}", i) for i in range(shape.nodes)))
@@ -127,8 +136,24 @@
                 "limits": {"cores": 1.0, "memory_mb": shape.memory_mb, "sockets": shape.sockets},
                 "settings": site.settings(i, shape.instances, shape.cold_from, shape.cold_ms),
             }
+            if shape.links:
+                config["discovery"] = await self._link(name, up[1][name])
+            if self.datagrams is not None:
+                config |= self.datagrams.configure(i, len(names))
+                config["settings"]["limits"]["peers"] = True
             self.instances[name] = InstanceProcess(name, address, folder, config)
 
+    async def _link(self, name: str, discovery: int) -> str:
+        """Relays from an instance to discovery and to all nodes; where it is to ask for the list."""
+        for node in self.nodes.values():
+            host, _, port = node.entry["hostPort"].rpartition(":")
+            self.links[name, node.entry["instanceId"]] = Relay((host, int(port)))
+        self.links[name, "discovery"] = Relay(("127.0.0.1", discovery))
+        mine = {to: relay for (instance, to), relay in self.links.items() if instance == name}
+        at = {to: "{}:{}".format(*await relay.start()) for to, relay in mine.items()}
+        self.discovery.command(hosts={name: at})
+        return at["discovery"]
+
     async def start_instances(self) -> None:
         """Start every sidecar and wait until all are ready."""
         await asyncio.gather(*(self.start_instance(name) for name in self.instances))
@@ -139,6 +164,9 @@
         if hasattr(self, "discovery"):
             children.append(self.discovery)
         await asyncio.gather(*(child.kill() for child in children))
+        if self.datagrams is not None:
+            self.datagrams.stop()
+        await asyncio.gather(*(relay.stop() for relay in self.links.values()))
         self._folder.cleanup()
 
     # --- nodes ----------------------------------------------------------------------------------
@@ -170,6 +198,9 @@
         }  # fmt: skip
         seen = self.nodes[name].seen if name in self.nodes else Counter()
         self.nodes[name] = NodeProcess(child, spec, entry, number, seen)
+        for (_, to), relay in self.links.items():
+            if to == name:
+                relay.target = ("127.0.0.1", port)
         self.discovery.command(set=entry)
 
     async def kill_node(self, name: str) -> None:
