--- a/covetally/tier/limits.py
+++ b/covetally/tier/limits.py
@@ -38,6 +38,7 @@
 KEEP = 0.25  # of its own part, which a member never lends
 SPARE = 1.25  # times its demand that a member wants to have
 FIRST_PAUSE_NS = 250_000_000  # after a Want that brought nothing, then doubled, to half a lease
+LOWER = 0.9  # a borrower gives back when it needs less than this share of what it borrowed
 LEAST = 1e-3  # of its own part: loans smaller than this are not worth a datagram
 
 
@@ -172,7 +173,7 @@
         if borrowed > 0 and need < -LEAST * rule.own:
             keep = max(0.0, (wanted - own) / borrowed)
         renew = any(b.lapse - now < rule.lease_ns // 2 for b in self._borrowed.values())
-        lower = keep < 0.5
+        lower = keep < LOWER
         if need <= LEAST * rule.own:
             self._round = self._pause = 0
             if not (renew or lower):
