--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 
 ALL = (
     "rollout", "reconnect", "control", "roster", "path", "overload", "crowd", "workers",
-    "tier", "limits", "verdicts", "sidecars", "faults",
+    "tier", "limits", "verdicts", "sidecars", "faults", "preflight",
 )  # fmt: skip
 
 
