Ask every sidecar before a change, halt at a canary's refusal, take back what nobody has

Ruled out: a check in the agent (it does not know each platform's classes and limits). At fault: Agent.change wrote before anybody was asked; Rollout._too_many_refused counted no refusal while max_refused is 0; Agent._undo compared whole layers.

--- a/benchmarks/reconnect.py
+++ b/benchmarks/reconnect.py
@@ -27,12 +27,13 @@
         self._processes: list[asyncio.subprocess.Process] = []
         self._readers: list[asyncio.Task[None]] = []
 
-    async def start(self, path: str, count: int) -> None:
+    async def start(self, path: str, count: int, silent: int = 0) -> None:
         for worker in range(WORKERS):
             first = count * worker // WORKERS
             more = count * (worker + 1) // WORKERS - first
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "benchmarks.lightweight", path, str(first), str(more), str(worker),
+                str(silent),
                 stdout=asyncio.subprocess.PIPE,
             )  # fmt: skip
             self._processes.append(process)
--- a/covetally/cli/client.py
+++ b/covetally/cli/client.py
@@ -16,8 +16,8 @@
 
 ALL_TOOK, SOME_DID_NOT, BAD_INPUT, CONFLICT, UNREACHABLE, DENIED = range(6)
 CODES = {
-    "bad_input": BAD_INPUT, "unknown": BAD_INPUT, "denied": DENIED, "conflict": CONFLICT, "busy": CONFLICT,
-    "unreachable": UNREACHABLE, "recovering": UNREACHABLE,
+    "bad_input": BAD_INPUT, "unknown": BAD_INPUT, "refused": SOME_DID_NOT, "denied": DENIED,
+    "conflict": CONFLICT, "busy": CONFLICT, "unreachable": UNREACHABLE, "recovering": UNREACHABLE,
 }  # fmt: skip
 CALL_S = 30.0
 
--- a/covetally/cli/fleet.py
+++ b/covetally/cli/fleet.py
@@ -321,7 +321,9 @@
         click.option("--on-overlap", type=click.Choice(["refuse", "queue", "supersede"]), default="refuse",
                      show_default=True, help="If a rollout to the same instances runs."),
         click.option("--restart", is_flag=True, help="Restart instances that need it to take this."),
-        click.option("--dry-run", is_flag=True, help="Say who would change, what, and who needs a restart."),
+        click.option("--dry-run", is_flag=True,
+                     help="Ask all of them: who would change, what, who needs a restart, who would refuse."),
+        click.option("--anyway", is_flag=True, help="Without asking first whether they would take it."),
         click.option("--wait/--no-wait", default=True, help="Follow the rollout to its end.", show_default=True),
         connected,
     ]  # fmt: skip
@@ -360,27 +362,33 @@
 
 def _change(
     what: dict[str, Any], where: Target, selector: str, reason: str, plan: dict[str, Any], parent: int | None,
-    on_overlap: str, restart: bool, dry_run: bool, wait: bool, as_json: bool,
+    on_overlap: str, restart: bool, dry_run: bool, anyway: bool, wait: bool, as_json: bool,
 ) -> None:  # fmt: skip
     if parent is None:
         parent = client.call(where, "GET", "/v1/status")["head"]
     plan = plan | ({"restart": True} if restart else {})
     body = what | {
         "parent": parent, "selector": selector, "reason": reason, "plan": plan, "overlap": on_overlap,
-        "dry_run": dry_run,
+        "dry_run": dry_run, "anyway": anyway,
     }  # fmt: skip
     done = client.call(where, "POST", "/v1/revisions", body)
     if dry_run:
+        refused = done["asked"]["refused"]
         if as_json:
             show_json(done)
-            return
+            raise SystemExit(SOME_DID_NOT if refused else ALL_TOOK)
         _show_changes(done["changes"])
         for item in done["would"]:
             restarts = f"; needs a restart for {', '.join(item['restart'])}" if item["restart"] else ""
             away = "" if item["connected"] else " (not connected)"
             click.echo(f"{item['name']}{away}: {', '.join(item['keys'])}{restarts}")
-        click.echo(f"{len(done['would'])} instances would change; nothing was changed")
-        return
+        for name, why in done["asked"]["unknown"].items():
+            click.echo(f"{name} was not asked: {why}")
+        for name, why in refused.items():
+            click.echo(f"{name} would refuse it: {why}")
+        count = len(done["would"])
+        click.echo(f"{count} instances would change, {len(refused)} would refuse; nothing was changed")
+        raise SystemExit(SOME_DID_NOT if refused else ALL_TOOK)
     if not as_json:
         click.echo(f"revision {done['revision']}, rollout {done['rollout']['number']}")
     _finish(where, done["rollout"], wait, as_json, {"revision": done["revision"], "changes": done["changes"]})
@@ -501,7 +509,8 @@
         text = f"rollout {item['number']}: {item['phase']}"
         show_json(more | {"rollout": item}) if as_json else click.echo(text)
         return
-    _report(_follow(where, item["number"], as_json, 60.0), as_json, more)
+    last = _follow(where, item["number"], as_json, 60.0)
+    _report(last, as_json, more, wanted="done")  # what was asked for may have been taken back
 
 
 def _follow(where: Target, number: int, quiet: bool, patience_s: float) -> dict[str, Any]:
@@ -544,14 +553,14 @@
         click.echo(f"  {member['name']} {member['state']}{detail}")
 
 
-def _report(item: dict[str, Any], as_json: bool, more: dict[str, Any]) -> None:
+def _report(item: dict[str, Any], as_json: bool, more: dict[str, Any], wanted: str = "") -> None:
     if as_json:
         show_json(more | {"rollout": item})
     else:
         _show_rollout(item)
         if item["phase"] == "paused":
             click.echo(f"It stands still: `cindersail rollout resume|undo|abort {item['number']}`.")
-    good = item["phase"] == "done" or (item["phase"] == "undone" and not item["missing"])
+    good = item["phase"] == "done" or (not wanted and item["phase"] == "undone" and not item["missing"])
     sys.exit(ALL_TOOK if good else SOME_DID_NOT)
 
 
--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -228,7 +228,7 @@
             case "apply":
                 self._send(await self._offered(message))
             case "ask":
-                self._send({"t": "answer", "id": message["id"]} | await self._asked(message["what"]))
+                self._send({"t": "answer", "id": message["id"]} | await self._asked(message))
             case "do":
                 done = self._do(message["what"])
                 self._send({"t": "answer", "id": message["id"], "error": done} | self._beat_message_plain())
@@ -236,7 +236,8 @@
     def _beat_message_plain(self) -> Message:
         return {"state": self._instance.state}
 
-    async def _asked(self, what: str) -> dict[str, Any]:
+    async def _asked(self, message: Message) -> dict[str, Any]:
+        what = message["what"]
         if what == "snapshot":
             now, memory = self._memory.in_force, self._memory
             managed = {
@@ -247,6 +248,12 @@
             return {"data": await self.gauges.snapshot() | {"managed": managed}}
         if what == "roster":
             return {"data": await self._instance.roster_table()}
+        if what == "would":
+            values = message.get("values")
+            if not isinstance(values, dict):
+                return {"error": "would it take what?"}
+            problems, restart = self._check(Held(0, digest(values), values))
+            return {"data": {"problems": problems, "restart": restart}}
         if what == "tier":
             return {"data": await self._instance.tier_table()}
         if what == "ping":
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -16,9 +16,9 @@
 from typing import Any
 
 from covetally.control.protocol import Message, digest
-from covetally.fleet import registry, rollout
+from covetally.fleet import preflight, registry, rollout
 from covetally.fleet.audit import Audit
-from covetally.fleet.document import Document, Layer, difference
+from covetally.fleet.document import Document, Layer, difference, taken_back
 from covetally.fleet.links import Link
 from covetally.fleet.registry import Instance
 from covetally.fleet.rollout import Member, Phase, Plan, Restart, Rollout, Send, State, UndoWanted
@@ -55,6 +55,7 @@
     row: RolloutRow
     selector: Selector
     queued: bool = False
+    undo_due: bool = False  # it has asked to be undone, and is before anything else is done
 
     @property
     def active(self) -> bool:
@@ -64,10 +65,11 @@
     def table(self, now: float, whole: bool = False) -> dict[str, Any]:
         """For the API."""
         r, row = self.rollout, self.row
+        phase = Phase.UNDOING if self.undo_due else r.phase
         table = {
             "number": r.number, "kind": r.kind, "revision": row.revision, "undo_revision": row.undo_revision,
             "selector": row.selector, "author": row.author, "reason": row.reason, "at": row.at,
-            "phase": "queued" if self.queued else r.phase.value, "why": r.reason, "wave": r.wave + 1,
+            "phase": "queued" if self.queued else phase.value, "why": r.reason, "wave": r.wave + 1,
             "waves": r.waves, "spent": round(r.spent(now), 1), "members": len(r.members), "counts": r.counts(),
             "missing": [
                 {"name": m.name, "state": m.state.value, "detail": m.detail, "errors": m.errors}
@@ -79,6 +81,16 @@
         return table
 
 
+@dataclass(slots=True)
+class Draft:
+    """A revision that is not written yet, and whom it means."""
+
+    revision: Revision
+    meant: Selector
+    changes: list[dict[str, Any]]
+    affected: list[Instance]
+
+
 class Agent:
     """One agent over one store. `restarter` restarts an instance, False if it supervises none of that name."""
 
@@ -349,6 +361,7 @@
 
     def _do(self, running: Running, actions: list[Any]) -> None:
         self._todo += [(running, action) for action in actions]
+        running.undo_due |= any(isinstance(action, UndoWanted) for action in actions)
         if actions or running.rollout.dirty:
             self._soon()
 
@@ -520,14 +533,13 @@
         """The clock that rollouts run by."""
         return self._now()
 
-    def change(
+    def draft(
         self, who: str, parent: int, reason: str, selector: str, put: Mapping[str, Any] | None,
-        set_: Mapping[str, Any], unset: list[str], plan: Plan, overlap: str, dry_run: bool,
-    ) -> dict[str, Any]:  # fmt: skip
-        """Make a revision on top of `parent` and roll it out; Refused if that cannot be.
+        set_: Mapping[str, Any], unset: list[str],
+    ) -> Draft:  # fmt: skip
+        """The revision that a change would make on top of `parent`, not written; Refused if it cannot be made.
 
-        `put` replaces the layer of `selector`, else `set_` and `unset` change it. With `dry_run` nothing is
-        written, and the answer says what would be.
+        `put` replaces the layer of `selector`, else `set_` and `unset` change it.
         """
         self._ready()
         meant = self._selector(selector)
@@ -549,9 +561,38 @@
         number = self._next_revision(head)
         revision = Revision(number, head.number, time.time(), who, reason, str(meant), made.digest(), made)
         affected = [i for i in self.instances.values() if meant.matches(i.name, i.labels)]
-        if dry_run:
-            would = self._would(affected, revision)
-            return {"dry_run": True, "revision": number, "changes": changes, "would": would}
+        return Draft(revision, meant, changes, affected)
+
+    def preview(self, draft: Draft) -> dict[str, Any]:
+        """What a draft would do to each instance."""
+        would = self._would(draft.affected, draft.revision)
+        return {"dry_run": True, "revision": draft.revision.number, "changes": draft.changes, "would": would}
+
+    async def preflight(self, draft: Draft) -> preflight.Found:
+        """Ask each instance that a draft means whether it would take it."""
+        document = draft.revision.document
+        wanted = {i.name: document.effective(i.name, i.labels) for i in draft.affected if not i.left}
+
+        async def one(name: str) -> Any:
+            instance = self.instances.get(name)
+            if instance is None or not instance.connected:
+                return {"error": "not connected"}
+            try:
+                message = {"t": "ask", "what": "would", "values": wanted[name]}
+                answer = await self._ask(instance, message, ASK_S)
+            except Refused as error:
+                return {"error": str(error)}
+            return answer.get("data") or {"error": str(answer.get("error", "it says nothing"))}
+
+        return preflight.judge(await preflight.ask_all(wanted, one))
+
+    def change(self, draft: Draft, who: str, reason: str, plan: Plan, overlap: str) -> dict[str, Any]:
+        """Write a draft as a revision and roll it out; Refused if somebody was first, or a rollout is in its
+        way."""
+        self._ready()
+        revision, meant, changes, affected = draft.revision, draft.meant, draft.changes, draft.affected
+        if revision.parent != self._store.head().number:  # while the instances were asked
+            raise self._conflict(revision.parent, self._store.head())
         blocking = self._overlapping(meant)
         if blocking and overlap == "refuse":
             raise self._busy(blocking)
@@ -565,6 +606,7 @@
             else:
                 self._begin(running)
             self._save()  # with its revision, or not at all
+        number = revision.number
         done = {"revision": number, "rollout": running.rollout.number, "changes": changes, "reason": reason}
         self._audit.write(who, "change", **done)
         self.flush()
@@ -808,13 +850,7 @@
             parent = self._store.revision(mine.parent)
         if mine is None or parent is None:
             raise Refused("unknown", f"what was before revision {row.revision} is not known")
-        if head.document.layer(meant) != mine.document.layer(meant):
-            later = next(x for x in self._store.revisions(after=mine.number) if x.selector == str(meant))
-            raise Refused(
-                "conflict",
-                f"revision {later.number} by {later.author} has changed the same settings since; undo that first",
-                revisions=[later.table()],
-            )
+        self._may_take_back(head, mine, parent, meant)
         others = [x for x in self._overlapping(meant) if x is not running]
         if any(not x.queued for x in others):
             raise self._busy([x for x in others if not x.queued])
@@ -822,7 +858,7 @@
             queued.queued = False
             self._do(queued, queued.rollout.abort(self._now(), f"rollout {r.number} was undone"))
         head = self._store.head()
-        made = head.document.replaced(meant, parent.document.layer(meant))
+        made = head.document.replaced(meant, taken_back(head.document, mine.document, parent.document, meant))
         number = self._next_revision(head)
         text = f"undo of revision {mine.number}" + (f": {reason}" if reason else "")
         revision = Revision(number, head.number, time.time(), who, text, str(meant), made.digest(), made)
@@ -839,7 +875,23 @@
             self._do(running, r.undo(self._now(), text, befores))
             self._save()  # with its revision, or not at all
 
+    def _may_take_back(self, head: Revision, mine: Revision, parent: Revision, meant: Selector) -> None:
+        """Refused, with the command that helps, where a later revision has changed the same keys."""
+        layers = [x.document.layer(meant) for x in (head, mine, parent)]
+        keys = [k for k in {*layers[1], *layers[2]} if layers[1].get(k) != layers[2].get(k)]
+        if all(layers[0].get(key) == layers[1].get(key) for key in keys):
+            return
+        later = next(
+            x for x in self._store.revisions(after=mine.number)
+            if x.selector == str(meant) and any(x.document.layer(meant).get(k) != layers[1].get(k) for k in keys)
+        )  # fmt: skip
+        row = next((r for r in self.rollouts() if r.row.revision == later.number), None)
+        remedy = f": cindersail rollout undo {row.rollout.number}" if row is not None else ""
+        text = f"revision {later.number} by {later.author} has changed the same settings since; undo that first"
+        raise Refused("conflict", text + remedy, revisions=[later.table()])
+
     def _undo_by_itself(self, running: Running, reason: str) -> None:
+        running.undo_due = False
         try:
             self._undo(running, "agent", reason)
             self._audit.write("agent", "undo", rollout=running.rollout.number, reason=reason)
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -28,8 +28,8 @@
 
 VERSIONS = [1]
 STATUS = {
-    "bad_input": 400, "denied": 403, "unknown": 404, "conflict": 409, "busy": 409, "unreachable": 504,
-    "recovering": 503,
+    "bad_input": 400, "denied": 403, "unknown": 404, "conflict": 409, "busy": 409, "refused": 409,
+    "unreachable": 504, "recovering": 503,
 }  # fmt: skip
 MAX_BODY = 1024 * 1024
 MAX_WATCHERS = 100
@@ -222,19 +222,24 @@
         overlap = body.get("overlap", "refuse")
         if overlap not in ("refuse", "queue", "supersede"):
             raise Refused("bad_input", "overlap has to be refuse, queue or supersede")
-        done = self._agent.change(
-            who=request["who"],
+        who, reason = request["who"], _take(body, "reason", str, "")[:1000]
+        plan = plan_from(_take(body, "plan", dict, {}), Plan())
+        draft = self._agent.draft(
+            who=who,
             parent=_take(body, "parent", int, -1),
-            reason=_take(body, "reason", str, "")[:1000],
+            reason=reason,
             selector=_take(body, "selector", str, ""),
             put=put,
             set_=_take(body, "set", dict, {}),
             unset=[str(key) for key in _take(body, "unset", list, [])],
-            plan=plan_from(_take(body, "plan", dict, {}), Plan()),
-            overlap=overlap,
-            dry_run=_take(body, "dry_run", bool, False),
         )
-        return web.json_response(done)
+        dry_run, anyway = (_take(body, key, bool, False) for key in ("dry_run", "anyway"))
+        found = None if anyway and not dry_run else await self._agent.preflight(draft)
+        if dry_run and found is not None:
+            return web.json_response(self._agent.preview(draft) | {"asked": found.table()})
+        if found is not None and found.refused:
+            raise Refused("refused", found.text(), asked=found.table())
+        return web.json_response(self._agent.change(draft, who, reason, plan, overlap))
 
     async def rollouts(self, request: web.Request) -> web.Response:
         now = self._agent.tell_time()
--- a/covetally/fleet/document.py
+++ b/covetally/fleet/document.py
@@ -90,3 +90,14 @@
                     {"selector": str(selector), "key": key, "old": before.get(key), "new": after.get(key)}
                 )
     return found
+
+
+def taken_back(head: Document, mine: Document, parent: Document, selector: Selector) -> Values:
+    """A layer of `head` without what `mine` changed in its `parent`: what others changed since stays."""
+    layer, changed, before = (document.layer(selector) for document in (head, mine, parent))
+    for key in {*changed, *before}:
+        if changed.get(key) != before.get(key):
+            layer.pop(key, None)
+            if key in before:
+                layer[key] = before[key]
+    return layer
--- a/covetally/fleet/rollout.py
+++ b/covetally/fleet/rollout.py
@@ -79,7 +79,7 @@
     soak_s: float = 5.0
     max_worse: float = 0.05  # refused and failed over all answers may rise by so much
     min_answers: int = 20  # of fewer answers no judgement is made
-    max_refused: int = 0  # members that may refuse before `on_trouble`; 0: any number
+    max_refused: int = 0  # members that may refuse before `on_trouble`, of canaries none; 0: any number
     instance_s: float = 45.0  # above an instance's longest pause between two dials
     whole_s: float = 3600.0
     restart: bool = False  # members that need a restart are restarted
@@ -487,7 +487,8 @@
         """Do whatever can be done now."""
         while not self.ended and self.phase is not Phase.PAUSED:
             if self.phase is not Phase.UNDOING and self._too_many_refused():
-                self._trouble(now, f"{self._counts[State.REFUSED]} refused")
+                first = next(m for m in self.members.values() if m.state is State.REFUSED)
+                self._trouble(now, f"{self._counts[State.REFUSED]} refused ({first.name}: {first.detail})")
                 break
             self._fill(now)
             if self.phase is Phase.SOAKING or not self._wave_settled():
@@ -533,6 +534,8 @@
 
     def _too_many_refused(self) -> bool:
         refused = self._counts[State.REFUSED] - self.forgiven
+        if refused > 0 and self.plan.canary and self.wave == 0 and self.waves > 1:
+            return True  # what a canary refuses, the others are not asked
         return bool(self.plan.max_refused) and refused > self.plan.max_refused
 
     def _judge(self, now: float) -> None:
@@ -555,7 +558,9 @@
 
     def _trouble(self, now: float, text: str) -> None:
         self.phase, self.reason = Phase.PAUSED, text
-        if self.plan.on_trouble == "undo" and self.kind == "change":
+        nobody = not any(self._counts[state] for state in UNDO_TO)
+        if self.kind == "change" and (self.plan.on_trouble == "undo" or nobody):
+            # Where nobody has it, it is taken back by itself: it would be in the way of the next good change.
             self._actions.append(UndoWanted(text))
 
     def _run_out(self, now: float) -> list[Action]:
