Freeze planned work for a while, and read what gauges measure by a protocol of their own

Change: fleet/freezes.py decides, without I/O; kept in the store's meta table before it is answered; changes, restarts and drains that may touch what is frozen are refused with the command that lifts it, but for a named way through. control/gauges.py no longer names Process: the last arrow of that circle is gone.

--- a/covetally/control/gauges.py
+++ b/covetally/control/gauges.py
@@ -7,12 +7,15 @@
 import os
 import time
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from covetally.net.message import Answer
 
 if TYPE_CHECKING:
-    from covetally.process import Process
+    from covetally.net.config import Config
+    from covetally.net.frontend import Frontend
+    from covetally.net.sidecar import Sidecar
+    from covetally.net.upstream import Upstream
 
 SAMPLE_S = 0.5
 LINES = 100
@@ -34,10 +37,32 @@
             self.errors.append(line)
 
 
+class Roster(Protocol):
+    """What is told of a roster with every heartbeat."""
+
+    def brief(self) -> dict[str, Any]:
+        """Its level and how many nodes it has."""
+
+
+class Measured(Protocol):
+    """What of a sidecar is read. `roster` is None where the platform's list is believed at once."""
+
+    config: Config
+    sidecar: Sidecar
+    frontend: Frontend
+    upstream: Upstream
+    roster: Roster | None
+    address: tuple[str, int]
+
+    @property
+    def state(self) -> str:
+        """serving or draining."""
+
+
 class Gauges:
     """Counts final answers by class and samples the loop's lag, from `start` to `stop`."""
 
-    def __init__(self, process: Process) -> None:
+    def __init__(self, process: Measured) -> None:
         self._process = process
         self._classes = [c.name for c in process.config.settings.classes]
         # served, refused, failed, the client left
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -19,6 +19,7 @@
 from covetally.fleet import preflight, registry, rollout
 from covetally.fleet.audit import Audit
 from covetally.fleet.document import Document, Layer, difference, taken_back
+from covetally.fleet.freezes import Freezes
 from covetally.fleet.links import Link
 from covetally.fleet.registry import Instance
 from covetally.fleet.rollout import Member, Phase, Plan, Restart, Rollout, Send, State, UndoWanted
@@ -122,6 +123,7 @@
         self.started = time.time()
         self._recover_until = 0.0
         self.recovered = store.get("recovered") == "yes"
+        self.freezes = Freezes(store.get("freezes"))
         self._opened = False
 
     # --- beginning and end ----------------------------------------------------------------------
@@ -590,6 +592,7 @@
         """Write a draft as a revision and roll it out; Refused if somebody was first, or a rollout is in its
         way."""
         self._ready()
+        self._not_frozen(draft.meant, who)
         revision, meant, changes, affected = draft.revision, draft.meant, draft.changes, draft.affected
         if revision.parent != self._store.head().number:  # while the instances were asked
             raise self._conflict(revision.parent, self._store.head())
@@ -619,6 +622,8 @@
         found = self.select(selector)
         if not found:
             raise Refused("unknown", f"no instance is meant by {selector!r}")
+        if not dry_run:
+            self._not_frozen(meant, who)
         if dry_run:
             return {"dry_run": True, "would": [{"name": i.name, "connected": i.connected} for i in found]}
         blocking = self._overlapping(meant)
@@ -630,6 +635,29 @@
         self.flush()
         return {"rollout": running.table(self._now())}
 
+    def freeze(self, who: str, for_s: float, selector: str, reason: str, through: str) -> dict[str, Any]:
+        """Begin nothing planned for what is meant, for so long; durable before it is answered."""
+        self._ready()
+        self._selector(selector)
+        made = self.freezes.add(selector, time.time(), for_s, who, reason, through)
+        self._store.set("freezes", self.freezes.text())
+        self._audit.write(who, "freeze", freeze=made.number, selector=made.selector, for_s=for_s, reason=reason)
+        return self.freezes.table(time.time())[0]
+
+    def thaw(self, who: str, number: int) -> dict[str, Any]:
+        """End a freeze; Refused if it is not in force."""
+        ended = self.freezes.lift(number, time.time(), who)
+        if ended is None:
+            raise Refused("unknown", f"no freeze {number} is in force")
+        self._store.set("freezes", self.freezes.text())
+        self._audit.write(who, "thaw", freeze=number)
+        return next(row for row in self.freezes.table(time.time()) if row["number"] == number)
+
+    def _not_frozen(self, meant: Selector, who: str) -> None:
+        freeze = self.freezes.blocking(meant, who, time.time())
+        if freeze is not None:
+            raise Refused("busy", f"{freeze.text(time.time())}: cindersail freeze lift {freeze.number}")
+
     def steer(self, who: str, number: int, what: str, reason: str) -> dict[str, Any]:
         """Pause, resume, abort or undo a rollout; Refused where that means nothing."""
         running = self.running(number)
@@ -653,6 +681,8 @@
 
     async def order(self, who: str, what: str, selector: str) -> list[dict[str, Any]]:
         """Drain or resume instances; what each answered."""
+        if what == "drain":
+            self._not_frozen(self._selector(selector), who)
         found = self.select(selector)
         self._audit.write(who, what, selector=selector, instances=[i.name for i in found][:1000])
 
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -13,6 +13,7 @@
 import resource
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import fields
 from typing import Any
@@ -172,6 +173,9 @@
             web.post("/v1/{what:drain|resume|believe|hold|auto}", self.order),
             web.get("/v1/rosters", self.rosters),
             web.get("/v1/tiers", self.tiers),
+            web.get("/v1/freezes", self.freezes),
+            web.post("/v1/freezes", self.freeze),
+            web.delete("/v1/freezes/{number:\\d+}", self.thaw),
             web.get("/v1/audit", self.audit),
             web.get("/v1/watch", self.watch),
         ]
@@ -277,6 +281,22 @@
         found = await self._agent.ask_all(request.query.get("selector", ""), "roster")
         return web.json_response({"instances": found})
 
+    async def freezes(self, request: web.Request) -> web.Response:
+        return web.json_response({"freezes": self._agent.freezes.table(time.time())})
+
+    async def freeze(self, request: web.Request) -> web.Response:
+        body = await _body(request)
+        for_s = body.get("for_s")
+        if not isinstance(for_s, int | float) or isinstance(for_s, bool) or not 1 <= for_s <= 2_592_000:
+            raise Refused("bad_input", f"for_s = {for_s!r:.60}: has to be from 1 to 2592000")
+        texts = [_take(body, key, str, "")[:1000] for key in ("selector", "reason", "through")]
+        made = self._agent.freeze(request["who"], float(for_s), *texts)
+        return web.json_response({"freeze": made})
+
+    async def thaw(self, request: web.Request) -> web.Response:
+        number = int(request.match_info["number"])
+        return web.json_response({"freeze": self._agent.thaw(request["who"], number)})
+
     async def tiers(self, request: web.Request) -> web.Response:
         found = await self._agent.ask_all(request.query.get("selector", ""), "tier")
         return web.json_response({"instances": found})
