--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -176,11 +176,11 @@
             any(v["of"] == "n2" and v["avoided"] for v in x["verdicts"]) for x in t.values()))  # fmt: skip
         found = await tables(world, faults)
         assert all(v["of"] == "n2" for t in found.values() for v in t["verdicts"] if v["avoided"])
+        await until(world, faults, lambda t: sum(x["counts"]["trials"] for x in t.values()) >= 1)
         await world.revive_node("n2")
         await until(world, faults, lambda t: not any(v["avoided"] for x in t.values() for v in x["verdicts"]))
         await playing
         assert world.account.judge().kept
-        assert sum(t["counts"]["trials"] for t in (await tables(world, faults)).values()) >= 1
 
     run(main)
 
