--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -13,6 +13,7 @@
 import resource
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import fields
 from typing import Any
@@ -28,8 +29,8 @@
 
 VERSIONS = [1]
 STATUS = {
-    "bad_input": 400, "denied": 403, "unknown": 404, "conflict": 409, "busy": 409, "unreachable": 504,
-    "recovering": 503,
+    "bad_input": 400, "denied": 403, "unknown": 404, "conflict": 409, "busy": 409, "refused": 409,
+    "unreachable": 504, "recovering": 503,
 }  # fmt: skip
 MAX_BODY = 1024 * 1024
 MAX_WATCHERS = 100
@@ -172,6 +173,9 @@
             web.post("/v1/{what:drain|resume|believe|hold|auto}", self.order),
             web.get("/v1/rosters", self.rosters),
             web.get("/v1/tiers", self.tiers),
+            web.get("/v1/freezes", self.freezes),
+            web.post("/v1/freezes", self.freeze),
+            web.delete("/v1/freezes/{number:\\d+}", self.thaw),
             web.get("/v1/audit", self.audit),
             web.get("/v1/watch", self.watch),
         ]
@@ -222,19 +226,24 @@
         overlap = body.get("overlap", "refuse")
         if overlap not in ("refuse", "queue", "supersede"):
             raise Refused("bad_input", "overlap has to be refuse, queue or supersede")
-        done = self._agent.change(
-            who=request["who"],
+        who, reason = request["who"], _take(body, "reason", str, "")[:1000]
+        plan = plan_from(_take(body, "plan", dict, {}), Plan())
+        draft = self._agent.draft(
+            who=who,
             parent=_take(body, "parent", int, -1),
-            reason=_take(body, "reason", str, "")[:1000],
+            reason=reason,
             selector=_take(body, "selector", str, ""),
             put=put,
             set_=_take(body, "set", dict, {}),
             unset=[str(key) for key in _take(body, "unset", list, [])],
-            plan=plan_from(_take(body, "plan", dict, {}), Plan()),
-            overlap=overlap,
-            dry_run=_take(body, "dry_run", bool, False),
         )
-        return web.json_response(done)
+        dry_run, anyway = (_take(body, key, bool, False) for key in ("dry_run", "anyway"))
+        found = None if anyway and not dry_run else await self._agent.preflight(draft)
+        if dry_run and found is not None:
+            return web.json_response(self._agent.preview(draft) | {"asked": found.table()})
+        if found is not None and found.refused:
+            raise Refused("refused", found.text(), asked=found.table())
+        return web.json_response(self._agent.change(draft, who, reason, plan, overlap))
 
     async def rollouts(self, request: web.Request) -> web.Response:
         now = self._agent.tell_time()
@@ -272,6 +281,22 @@
         found = await self._agent.ask_all(request.query.get("selector", ""), "roster")
         return web.json_response({"instances": found})
 
+    async def freezes(self, request: web.Request) -> web.Response:
+        return web.json_response({"freezes": self._agent.freezes.table(time.time())})
+
+    async def freeze(self, request: web.Request) -> web.Response:
+        body = await _body(request)
+        for_s = body.get("for_s")
+        if not isinstance(for_s, int | float) or isinstance(for_s, bool) or not 1 <= for_s <= 2_592_000:
+            raise Refused("bad_input", f"for_s = {for_s!r:.60}: has to be from 1 to 2592000")
+        texts = [_take(body, key, str, "")[:1000] for key in ("selector", "reason", "through")]
+        made = self._agent.freeze(request["who"], float(for_s), *texts)
+        return web.json_response({"freeze": made})
+
+    async def thaw(self, request: web.Request) -> web.Response:
+        number = int(request.match_info["number"])
+        return web.json_response({"freeze": self._agent.thaw(request["who"], number)})
+
     async def tiers(self, request: web.Request) -> web.Response:
         found = await self._agent.ask_all(request.query.get("selector", ""), "tier")
         return web.json_response({"instances": found})
