Say each thing once: allowances, links, own words, changed keys, what a file makes

Reading the change again, these stood twice or were dead; behaviour is as it was. - members.py and node.py each had a bucket of tokens: tier/allowance.py serves both. - A link's cut, flap, loss, repeat and delay were spelt out in rig/datagrams, lab/tier and lab/ways: Link.down, delays. - verdicts.py sought its own word three times and counted a zone's words twice; _Own.first, _Verdict.since, counts nobody read and a stale docstring (a WELL word weighs eight, not two) are gone. facts.py aged in two loops. - What a revision changed was worked out in document.py and agent.py: changed_keys. Preflight asked in its own words: Agent._answer_of (a client that answers nothing at all is now named as one that cannot be understood). - configuration.py built a configuration twice (offered, in force); the names of limits stood there and in the tier. - cli/tier and cli/roster asked alike: client.instances. benchmarks/sidecars read /proc by itself: report has it.

--- a/benchmarks/sidecars.py
+++ b/benchmarks/sidecars.py
@@ -7,25 +7,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
-from pathlib import Path
 
 import click
 
-from benchmarks.report import progress, show
+from benchmarks.report import cpu_s, progress, rss_mib, show
 from covetally.rig.world import Shape, World
 
 ON = "[tier]\nmode = 'on'\n"
 
 
-def used(pid: int) -> tuple[float, int]:
-    """CPU seconds and resident KiB of a process."""
-    words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    cpu_s = (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
-    return cpu_s, pages * os.sysconf("SC_PAGE_SIZE") // 1024
-
-
 async def play(size: int, on: bool, seconds: float) -> dict[str, float]:
     """One world of so many sidecars."""
     async with World(Shape(nodes=6, instances=size, peers=True)) as world:
@@ -37,13 +27,13 @@
         assert world.datagrams is not None
         await asyncio.sleep(10)  # they meet
         pids = [i.process.pid for i in world.instances.values() if i.process is not None]
-        before = {pid: used(pid) for pid in pids}
+        before = {pid: cpu_s(pid) for pid in pids}
         datagrams, octets = world.datagrams.passed.total(), world.datagrams.octets.total()
         await asyncio.sleep(seconds)
-        cpu = [(used(pid)[0] - before[pid][0]) / seconds * 1e6 for pid in pids]
+        cpu = [(cpu_s(pid) - before[pid]) / seconds * 1e6 for pid in pids]
         return {
             "cpu_us_per_s": round(sum(cpu) / size), "most_cpu_us_per_s": round(max(cpu)),
-            "memory_kib": round(sum(used(pid)[1] for pid in pids) / size),
+            "memory_kib": round(sum(rss_mib(pid) for pid in pids) / size * 1024),
             "datagrams_per_s": round((world.datagrams.passed.total() - datagrams) / seconds / size, 2),
             "bytes_per_s": round((world.datagrams.octets.total() - octets) / seconds / size, 1),
         }  # fmt: skip
--- a/covetally/cli/client.py
+++ b/covetally/cli/client.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import aiohttp
 import click
@@ -149,6 +150,15 @@
         yield client
 
 
+def instances(where: Target, path: str, name: str | None, selector: str) -> dict[str, Any]:
+    """What the selected instances, or the one of this name, answer to a call for all of them."""
+    query = f"name={name}" if name else selector
+    found = call(where, "GET", f"{path}?selector={quote(query, safe='')}")["instances"]
+    if name and name not in found:
+        raise Failure(f"there is no instance {name}", BAD_INPUT)
+    return found
+
+
 def call(where: Target, method: str, path: str, body: dict[str, Any] | None = None) -> dict[str, Any]:
     """One call. An agent whose store is new and that still listens for what instances have is waited for."""
 
--- a/covetally/cli/fleet.py
+++ b/covetally/cli/fleet.py
@@ -510,7 +510,7 @@
         show_json(more | {"rollout": item}) if as_json else click.echo(text)
         return
     last = _follow(where, item["number"], as_json, 60.0)
-    _report(last, as_json, more, wanted="done")  # what was asked for may have been taken back
+    _report(last, as_json, more, undone_is_good=False)  # what was asked for has been taken back
 
 
 def _follow(where: Target, number: int, quiet: bool, patience_s: float) -> dict[str, Any]:
@@ -553,14 +553,14 @@
         click.echo(f"  {member['name']} {member['state']}{detail}")
 
 
-def _report(item: dict[str, Any], as_json: bool, more: dict[str, Any], wanted: str = "") -> None:
+def _report(item: dict[str, Any], as_json: bool, more: dict[str, Any], undone_is_good: bool = True) -> None:
     if as_json:
         show_json(more | {"rollout": item})
     else:
         _show_rollout(item)
         if item["phase"] == "paused":
             click.echo(f"It stands still: `cindersail rollout resume|undo|abort {item['number']}`.")
-    good = item["phase"] == "done" or (not wanted and item["phase"] == "undone" and not item["missing"])
+    good = item["phase"] == "done" or (undone_is_good and item["phase"] == "undone" and not item["missing"])
     sys.exit(ALL_TOOK if good else SOME_DID_NOT)
 
 
--- a/covetally/cli/roster.py
+++ b/covetally/cli/roster.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from typing import Any
-from urllib.parse import quote
 
 import click
 
@@ -42,10 +41,7 @@
 @connected
 def show(where: Target, name: str | None, selector: str, as_json: bool) -> None:
     """Show the rosters of all selected instances and where they differ, or all of one instance's NAME."""
-    query = f"name={name}" if name else selector
-    found = client.call(where, "GET", f"/v1/rosters?selector={quote(query, safe='')}")["instances"]
-    if name and name not in found:
-        raise client.Failure(f"there is no instance {name}", client.BAD_INPUT)
+    found = client.instances(where, "/v1/rosters", name, selector)
     differ = disagreements(found)
     if as_json:
         show_json({"instances": found, "differ": differ})
--- a/covetally/cli/tier.py
+++ b/covetally/cli/tier.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from typing import Any
-from urllib.parse import quote
 
 import click
 
@@ -53,21 +52,13 @@
     return [row | {"amounts": sorted(row["amounts"])} for row in found.values()]
 
 
-def _fetch(where: Target, name: str | None, selector: str) -> Tables:
-    query = f"name={name}" if name else selector
-    found: Tables = client.call(where, "GET", f"/v1/tiers?selector={quote(query, safe='')}")["instances"]
-    if name and name not in found:
-        raise client.Failure(f"there is no instance {name}", client.BAD_INPUT)
-    return found
-
-
 @tier.command()
 @click.argument("name", required=False)
 @SELECTOR
 @connected
 def members(where: Target, name: str | None, selector: str, as_json: bool) -> None:
     """Show who is there as all selected instances see it, or as one instance NAME does."""
-    found = _fetch(where, name, selector)
+    found = client.instances(where, "/v1/tiers", name, selector)
     differ = differing(found)
     if as_json:
         show_json({"instances": found, "differ": differ})
@@ -99,7 +90,7 @@
 @connected
 def limits(where: Target, name: str | None, selector: str, as_json: bool) -> None:
     """Show the limits: what each sidecar may use, has lent and borrowed, and could use."""
-    found = _fetch(where, name, selector)
+    found = client.instances(where, "/v1/tiers", name, selector)
     sums = totals(found)
     if as_json:
         show_json({"instances": found, "totals": sums})
@@ -129,7 +120,7 @@
 @connected
 def verdicts(where: Target, name: str | None, selector: str, as_json: bool) -> None:
     """Show which nodes and zones are accused or avoided, by whom, and how old the oldest word is."""
-    found = _fetch(where, name, selector)
+    found = client.instances(where, "/v1/tiers", name, selector)
     if as_json:
         show_json({"instances": found})
         return
--- a/covetally/configuration.py
+++ b/covetally/configuration.py
@@ -133,14 +133,12 @@
 
     def try_managed(self, managed: Values) -> None:
         """OperatorError if what the agent wants could not be used here; nothing changes."""
-        from covetally.operator import check, tune
+        from covetally.operator import check
 
         if "workers.count" in managed and "workers.count" not in self.own:
             reason = "takes a supervisor, which this sidecar has only if its own file names a number"
             raise check.OperatorError([check.Problem("workers.count", managed["workers.count"], reason)])
-        changes = tune.changes(self.platform, self.own | managed)
-        _plan(self.own | managed)
-        _tier(self._shape.config(replace(self.platform, **changes)), self.own | managed)
+        self._made(self.platform, self.own | managed)
 
     def _read_operator(self) -> Values:
         if self._operator is None:
@@ -156,17 +154,22 @@
         """The configuration that these three make; ConfigError if it cannot be used."""
         if not own and not managed:
             return self._shape.config(platform)
-        from covetally.operator import check, tune
+        from covetally.operator import check
 
         try:
-            changes = tune.changes(platform, own | managed)
-            _plan(own | managed)
-            config = self._shape.config(replace(platform, **changes))
-            _tier(config, own | managed)
-            return config
+            return self._made(platform, own | managed)
         except check.OperatorError as error:
             raise ConfigError(str(error)) from None
 
+    def _made(self, platform: Config, values: Values) -> Config:
+        """As `_effective`, of the operators' settings together; OperatorError if it cannot be used."""
+        from covetally.operator import tune
+
+        config = self._shape.config(replace(platform, **tune.changes(platform, values)))
+        _plan(values)
+        _tier(config, values)
+        return config
+
     def _unmoved(self, own: Values) -> Values:
         """The operators' file as it was read again, with how this sidecar is managed left as it was."""
         for name in {*self.own, *own}:
@@ -200,13 +203,15 @@
 
 def _tier(config: Config, values: Values) -> Tier | None:
     """As `Configuration.tier`; OperatorError if it cannot be had. A limit asks for the tier by itself."""
-    asking = sorted(n for n in values if n.startswith(("tier.rate_per_s.", "tier.in_flight.")))
+    if not values:
+        return None
+    from covetally.operator import check, schema
+
+    asking = sorted(n for n in values if n.startswith((schema.RATE, schema.IN_FLIGHT)))
     if values.get("tier.mode") == "on":
         asking.append("tier.mode")
     if not asking:
         return None
-    from covetally.operator import check
-
     reason = remedy = ""
     if values.get("tier.mode") == "off":
         reason, remedy = "is off by tier.mode", "tier.mode = 'on'"
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -18,7 +18,7 @@
 from covetally.control.protocol import Message, digest
 from covetally.fleet import preflight, registry, rollout
 from covetally.fleet.audit import Audit
-from covetally.fleet.document import Document, Layer, difference, taken_back
+from covetally.fleet.document import Document, Layer, changed_keys, difference, taken_back
 from covetally.fleet.freezes import Freezes
 from covetally.fleet.links import Link
 from covetally.fleet.registry import Instance
@@ -576,15 +576,7 @@
         wanted = {i.name: document.effective(i.name, i.labels) for i in draft.affected if not i.left}
 
         async def one(name: str) -> Any:
-            instance = self.instances.get(name)
-            if instance is None or not instance.connected:
-                return {"error": "not connected"}
-            try:
-                message = {"t": "ask", "what": "would", "values": wanted[name]}
-                answer = await self._ask(instance, message, ASK_S)
-            except Refused as error:
-                return {"error": str(error)}
-            return answer.get("data") or {"error": str(answer.get("error", "it says nothing"))}
+            return await self._answer_of(name, "would", values=wanted[name])
 
         return preflight.judge(await preflight.ask_all(wanted, one))
 
@@ -697,28 +689,33 @@
 
         return list(await asyncio.gather(*(one(i) for i in found)))
 
-    async def ask(self, name: str, what: str) -> Any:
+    async def ask(self, name: str, what: str, **more: Any) -> Any:
         """Ask an instance for its snapshot or its logs; Refused if it does not answer."""
         instance = self.instances.get(name)
         if instance is None:
             raise Refused("unknown", f"there is no instance {name}")
-        answer = await self._ask(instance, {"t": "ask", "what": what}, ASK_S)
+        answer = await self._ask(instance, {"t": "ask", "what": what} | more, ASK_S)
         if answer.get("error"):
             raise Refused("unknown", str(answer["error"]))
         return answer.get("data")
 
+    async def _answer_of(self, name: str, what: str, **more: Any) -> Any:
+        """As `ask`; {"error": why there is no answer} in place of Refused."""
+        instance = self.instances.get(name)
+        if instance is None or not instance.connected:
+            return {"error": "not connected"}
+        try:
+            return await self.ask(name, what, **more)
+        except Refused as error:
+            return {"error": str(error)}
+
     async def ask_all(self, selector: str, what: str) -> dict[str, Any]:
         """Ask all that a selector means; by name what each answered, or {"error": why it did not}."""
         turns = asyncio.Semaphore(ASKS_AT_ONCE)
 
         async def one(instance: Instance) -> Any:
-            if not instance.connected:
-                return {"error": "not connected"}
             async with turns:
-                try:
-                    return await self.ask(instance.name, what)
-                except Refused as error:
-                    return {"error": str(error)}
+                return await self._answer_of(instance.name, what)
 
         found = self.select(selector)
         return dict(zip([i.name for i in found], await asyncio.gather(*map(one, found)), strict=True))
@@ -907,14 +904,16 @@
 
     def _may_take_back(self, head: Revision, mine: Revision, parent: Revision, meant: Selector) -> None:
         """Refused, with the command that helps, where a later revision has changed the same keys."""
-        layers = [x.document.layer(meant) for x in (head, mine, parent)]
-        keys = [k for k in {*layers[1], *layers[2]} if layers[1].get(k) != layers[2].get(k)]
-        if all(layers[0].get(key) == layers[1].get(key) for key in keys):
+        layer, keys = mine.document.layer(meant), changed_keys(mine.document, parent.document, meant)
+
+        def differs(other: Revision) -> bool:
+            theirs = other.document.layer(meant)
+            return any(theirs.get(key) != layer.get(key) for key in keys)
+
+        if not differs(head):
             return
-        later = next(
-            x for x in self._store.revisions(after=mine.number)
-            if x.selector == str(meant) and any(x.document.layer(meant).get(k) != layers[1].get(k) for k in keys)
-        )  # fmt: skip
+        since = self._store.revisions(after=mine.number)
+        later = next(x for x in since if x.selector == str(meant) and differs(x))
         row = next((r for r in self.rollouts() if r.row.revision == later.number), None)
         remedy = f": cindersail rollout undo {row.rollout.number}" if row is not None else ""
         text = f"revision {later.number} by {later.author} has changed the same settings since; undo that first"
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -238,11 +238,12 @@
             unset=[str(key) for key in _take(body, "unset", list, [])],
         )
         dry_run, anyway = (_take(body, key, bool, False) for key in ("dry_run", "anyway"))
-        found = None if anyway and not dry_run else await self._agent.preflight(draft)
-        if dry_run and found is not None:
-            return web.json_response(self._agent.preview(draft) | {"asked": found.table()})
-        if found is not None and found.refused:
-            raise Refused("refused", found.text(), asked=found.table())
+        if dry_run or not anyway:
+            found = await self._agent.preflight(draft)
+            if dry_run:
+                return web.json_response(self._agent.preview(draft) | {"asked": found.table()})
+            if found.refused:
+                raise Refused("refused", found.text(), asked=found.table())
         return web.json_response(self._agent.change(draft, who, reason, plan, overlap))
 
     async def rollouts(self, request: web.Request) -> web.Response:
--- a/covetally/fleet/document.py
+++ b/covetally/fleet/document.py
@@ -94,10 +94,15 @@
 
 def taken_back(head: Document, mine: Document, parent: Document, selector: Selector) -> Values:
     """A layer of `head` without what `mine` changed in its `parent`: what others changed since stays."""
-    layer, changed, before = (document.layer(selector) for document in (head, mine, parent))
-    for key in {*changed, *before}:
-        if changed.get(key) != before.get(key):
-            layer.pop(key, None)
-            if key in before:
-                layer[key] = before[key]
+    layer, before = head.layer(selector), parent.layer(selector)
+    for key in changed_keys(mine, parent, selector):
+        layer.pop(key, None)
+        if key in before:
+            layer[key] = before[key]
     return layer
+
+
+def changed_keys(mine: Document, parent: Document, selector: Selector) -> list[str]:
+    """The keys of a layer that `mine` changed in its `parent`."""
+    changed, before = mine.layer(selector), parent.layer(selector)
+    return [key for key in {*changed, *before} if changed.get(key) != before.get(key)]
--- a/covetally/lab/tier.py
+++ b/covetally/lab/tier.py
@@ -207,11 +207,8 @@
                 self.sent[sender] += 1
                 self.bytes += len(data)
                 link = self.links.get((sender, to), WELL)
-                flaps = link.flap_s > 0 and int(self.now / SECOND / link.flap_s) % 2
-                if link.cut or flaps or self.random.random() < max(link.lose, self.lost):
-                    continue
-                for _ in range(1 + (self.random.random() < link.twice)):
-                    self._arrive(self.now + int(self.random.uniform(*link.delay_s) * SECOND), sender, to, data)
+                for delay_s in link.delays(self.now / SECOND, self.random, self.lost):
+                    self._arrive(self.now + int(delay_s * SECOND), sender, to, data)
 
     def outcome(self, number: int, server: str, how: How, cls: int = 0) -> None:
         """A call that a member sent just now has ended."""
--- a/covetally/lab/verdicts.py
+++ b/covetally/lab/verdicts.py
@@ -45,7 +45,7 @@
 
     def advice(self, member: int) -> Advice:
         """What a member's balancer is told."""
-        return self.tier.nodes[member].advice(self.tier.time(member))
+        return self.tier.nodes[member].advice()
 
     def avoiding(self, node: str, cls: int = -1) -> float:
         """The share of members that are told to avoid a node."""
--- a/covetally/lab/ways.py
+++ b/covetally/lab/ways.py
@@ -71,8 +71,7 @@
             use[n] = min(demand[n], max(fair, rule.amount - others))
             for to in range(rule.members):
                 link = links.get((n, to), WELL)
-                flaps = link.flap_s > 0 and int(now / link.flap_s) % 2
-                if to != n and not link.cut and not flaps and rng.random() >= link.lose:
+                if to != n and not link.down(now) and rng.random() >= link.lose:
                     sent += 1
                     heappush(wire, (now + rng.uniform(*link.delay_s), sent, n, to, use[n], demand[n]))
         total = sum(use[n] for n in up)
--- a/covetally/operator/schema.py
+++ b/covetally/operator/schema.py
@@ -17,6 +17,8 @@
 Values = dict[str, Value]
 """Checked settings by dotted key. The canonical form: two documents that mean the same are equal."""
 
+RATE, IN_FLIGHT = "tier.rate_per_s.", "tier.in_flight."  # before a workshop's name
+
 _ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
 _ENDPOINT = re.compile(r"unix:/.+|tcp:\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
--- a/covetally/rig/datagrams.py
+++ b/covetally/rig/datagrams.py
@@ -108,11 +108,8 @@
             if link is WELL:
                 self._send(sender, target, data)
                 continue
-            down = link.cut or (link.flap_s > 0 and int(self._loop.time() / link.flap_s) % 2)
-            if down or self._random.random() < link.lose:
-                continue
-            for _ in range(1 + (self._random.random() < link.twice)):
-                self._loop.call_later(self._random.uniform(*link.delay_s), self._send, sender, target, data)
+            for delay_s in link.delays(self._loop.time(), self._random):
+                self._loop.call_later(delay_s, self._send, sender, target, data)
 
     def _send(self, sender: int, to: int, data: bytes) -> None:
         target = self._targets.get(to)
--- a/covetally/rig/schedule.py
+++ b/covetally/rig/schedule.py
@@ -23,6 +23,17 @@
     delay_s: tuple[float, float] = (0.003, 0.021)
     flap_s: float = 0.0  # cut every other such time
 
+    def down(self, now_s: float) -> bool:
+        """Whether nothing passes at this time."""
+        return self.cut or (self.flap_s > 0 and int(now_s / self.flap_s) % 2 == 1)
+
+    def delays(self, now_s: float, rng: random.Random, lose: float = 0.0) -> list[float]:
+        """After how many seconds a datagram that is sent now arrives: never, once or twice. At least the share
+        `lose` is lost."""
+        if self.down(now_s) or rng.random() < max(self.lose, lose):
+            return []
+        return [rng.uniform(*self.delay_s) for _ in range(1 + (rng.random() < self.twice))]
+
 
 WELL = Link()
 
@@ -56,7 +67,8 @@
     for number, line in enumerate(path.read_text().splitlines(), 1):
         try:
             raw = json.loads(line)
-            link = Link(**raw.pop("link") | {"delay_s": tuple(json.loads(line)["link"]["delay_s"])})
+            link = Link(**raw.pop("link"))
+            link = replace(link, delay_s=tuple(link.delay_s))
             members, to = tuple(raw.pop("members")), tuple(raw.pop("to"))
             steps.append(Step(link=link, members=members, to=to, **raw))
         except (ValueError, TypeError, KeyError) as error:
--- a/covetally/tier/facts.py
+++ b/covetally/tier/facts.py
@@ -90,8 +90,7 @@
     def digest(self, now: int) -> tuple[Fact, ...]:
         """This member's own facts for one datagram: zones before nodes, then the latest."""
         own = self._owners[self.me].facts
-        for key in [key for key, said in own.items() if now - said.at >= LASTS_NS]:
-            self._drop(own, key)
+        self._age(now, own)
         said = sorted(own.values(), key=lambda s: (s.fact.what, -s.fact.counter))[:DIGEST]
         return tuple(s.fact._replace(age_ns=now - s.at) for s in said)
 
@@ -142,8 +141,11 @@
     def age(self, now: int) -> None:
         """Let go of what counts no more."""
         for known in self._owners.values():
-            for key in [key for key, said in known.facts.items() if now - said.at >= LASTS_NS]:
-                self._drop(known.facts, key)
+            self._age(now, known.facts)
+
+    def _age(self, now: int, facts: dict[Key, Said]) -> None:
+        for key in [key for key, said in facts.items() if now - said.at >= LASTS_NS]:
+            self._drop(facts, key)
 
     def _put(self, known: _Owner, owner: int, fact: Fact, at: int) -> Said:
         key = (fact.what, fact.subject, fact.detail)
--- a/covetally/tier/limits.py
+++ b/covetally/tier/limits.py
@@ -186,17 +186,16 @@
         else:
             self._pause = min(max(2 * self._pause, FIRST_PAUSE_NS), rule.lease_ns // 2)
         self._had, self._needed, self._ask_at = borrowed, need, now + self._pause
+        self._seq += 1
+        self._sent[self._seq] = now
         if lower:
             for b in self._borrowed.values():
                 b.amount *= keep
             if keep == 0.0:
                 self._borrowed.clear()
+            self._lowered = self._seq
         else:
             keep = 1.0
-        self._seq += 1
-        self._sent[self._seq] = now
-        if lower:
-            self._lowered = self._seq
         each = min(need, need * 2.0**self._round / max(1, rule.members - 1))
         self._round = min(self._round + 1, 32) if need else 0
         self.asked += 1
--- a/covetally/tier/members.py
+++ b/covetally/tier/members.py
@@ -32,6 +32,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from covetally.tier.allowance import Allowance
 from covetally.tier.facts import Fact
 
 SECOND = 1_000_000_000
@@ -170,8 +171,8 @@
         self._number = 0
         self._next_call = now
         self._spread: dict[int, int] = {me: 0}  # member: how often its present word was passed on
-        self._replies = float(self.timing.replies_per_s)
-        self._replies_at = now
+        # A peer that asks ten thousand times a second is answered as often as any other needs to be.
+        self._replies = Allowance(self.timing.replies_per_s, self.timing.replies_per_s, now)
         self._ticked = now
         self._left = False
 
@@ -283,11 +284,11 @@
     def _by_kind(self, now: int, message: Message) -> list[Send]:
         sender, number = message.sender, message.number
         if message.kind is Kind.ASK:
-            if not self._may_reply(now):
+            if not self._replies.take(now):
                 return []
             return [Send(sender, self._message(Kind.ANSWER, number, first=sender))]
         if message.kind is Kind.ASK_FOR:
-            if message.target in (self.me, sender) or not self._may_reply(now):
+            if message.target in (self.me, sender) or not self._replies.take(now):
                 return []
             return [self._ask(now, message.target, sender, number)]
         call = self._calls.get(number)
@@ -315,7 +316,7 @@
                 self._set(now, sender, State.ALIVE, message.incarnation, message.life, sender)
         elif word < (known.incarnation, known.state) or message.life != known.life:
             self._spread[sender] = 0
-            if message.kind is not Kind.ASK and self._may_reply(now):
+            if message.kind is not Kind.ASK and self._replies.take(now):
                 return [Send(sender, self._message(Kind.TELL, first=sender))]
         return []
 
@@ -436,16 +437,6 @@
         there = [n for n, m in self._members.items() if m.state is State.ALIVE and n not in (self.me, but)]
         return self._random.sample(there, min(count, len(there)))
 
-    def _may_reply(self, now: int) -> bool:
-        """A peer that asks ten thousand times a second is answered as often as any other needs to be."""
-        per_s = self.timing.replies_per_s
-        self._replies = min(per_s, self._replies + (now - self._replies_at) * per_s / SECOND)
-        self._replies_at = now
-        if self._replies < 1.0:
-            return False
-        self._replies -= 1.0
-        return True
-
     def _next_due(self, now: int) -> int:
         times = [self._next_call]
         times += [call.end if call.widened or call.errand_for >= 0 else call.due for call in self._calls.values()]
--- a/covetally/tier/node.py
+++ b/covetally/tier/node.py
@@ -15,6 +15,7 @@
 from zlib import crc32
 
 from covetally.interface import How
+from covetally.tier.allowance import Allowance
 from covetally.tier.facts import Facts
 from covetally.tier.limits import Grant, Rule, Share, Usable, Want
 from covetally.tier.members import SECOND, Kind, Loan, Members, Message, Send, Timing
@@ -48,22 +49,6 @@
     verdicts: bool = True
 
 
-class Allowance:
-    """Tokens a second, some of which are saved up."""
-
-    def __init__(self, per_s: float, most: float, now: int) -> None:
-        self.per_s, self.most, self.left, self.at = per_s, most, most, now
-
-    def take(self, now: int) -> bool:
-        """Whether there is one; it is gone then."""
-        self.left = min(self.most, self.left + (now - self.at) * self.per_s / SECOND)
-        self.at = now
-        if self.left < 1.0:
-            return False
-        self.left -= 1.0
-        return True
-
-
 class Node:
     """One member. Its numbers, and `Members`, are as there."""
 
@@ -166,7 +151,7 @@
 
     # --- what comes of it -----------------------------------------------------------------------
 
-    def advice(self, now: int) -> Advice:
+    def advice(self) -> Advice:
         """What is told to the balancer of nodes and zones."""
         return self.verdicts.advice()
 
--- a/covetally/tier/settings.py
+++ b/covetally/tier/settings.py
@@ -7,12 +7,11 @@
 
 from covetally.interface import SECOND, Settings
 from covetally.operator.check import OperatorError, Problem
-from covetally.operator.schema import Value
+from covetally.operator.schema import IN_FLIGHT, RATE, Value
 from covetally.tier.limits import Rule
 from covetally.tier.node import LOANS_NS, Site
 from covetally.tier.shell import Held
 
-RATE, IN_FLIGHT = "tier.rate_per_s.", "tier.in_flight."
 SPARE_NS = SECOND  # past a class's deadline: its last attempt is closed
 
 
--- a/covetally/tier/shell.py
+++ b/covetally/tier/shell.py
@@ -43,7 +43,7 @@
     def __init__(
         self, me: int, size: int, life: int, seed: int, site: Site, held: tuple[Held, ...], parts: Parts
     ) -> None:
-        self._parts, self._size = parts, size
+        self._parts = parts
         self._held = {held.rule.name: held for held in held}
         now = parts.now()
         self.node = Node(me, size, life, seed, now, site)
@@ -85,7 +85,7 @@
             gone = self._held[name]
             self._told.pop(name, None)
             self._parts.advise(Allotted(gone.tenant, gone.rule.in_flight, None))
-        self._size, self._held = size, {h.rule.name: h for h in held}
+        self._held = {h.rule.name: h for h in held}
         self.node.resize(now, size, (h.rule for h in held))
         self._allot(now)
         self._set_timer()
@@ -106,7 +106,7 @@
     def _after(self, out: list[Datagram]) -> None:
         self._carry(out)
         now = self._parts.now()
-        advice = self.node.advice(now)
+        advice = self.node.advice()
         if advice != self._advice or (advice != Advice() and now - self._advised_at >= AGAIN_NS):
             self._advice, self._advised_at = advice, now
             back = tuple((name, now - ago) for name, ago in advice.back)
--- a/covetally/tier/verdicts.py
+++ b/covetally/tier/verdicts.py
@@ -10,14 +10,14 @@
     A verdict is a reason to try elsewhere first, never a conviction: a balancer with nowhere else to go calls an
     avoided node. At most SHARE of the nodes are avoided, those with most witnesses.
 
-Each WELL word weighs as much as two accusations. It is said by a member that called the node after it heard of
-the accusation, so an old success contradicts nothing, and a node that is well is cleared by the calls it gets
-anyhow. Members of one zone may be cut from a node that is well for all others: accusers of this member's own
-zone count against the WELL words of that zone; accusers of all zones count together only if they are of two
+Each WELL word weighs as much as WELL_WEIGHS accusations. It is said by a member that called the node after it
+heard of the accusation, so an old success contradicts nothing, and a node that is well is cleared by the calls
+it gets anyhow. Members of one zone may be cut from a node that is well for all others: accusers of this member's
+own zone count against the WELL words of that zone; accusers of all zones count together only if they are of two
 zones or more. An accusation for one class of calls is a verdict for that class alone.
 
 Trials: once a verdict stands, one member calls the node, then the next if that fails, after a pause that doubles.
-Whose turn it is follows from the node, the number of the trial and who is there (rendezvous hashing): no leader.
+Whose turn it is follows from the node, who tried last and who is there (rendezvous hashing): no leader.
 A member whose turn it is says so; the next in order begins `HOLD_NS` later if nothing was heard of it, so a turn
 passes on when its owner is gone. Nobody's TRIES counts twice in a row, so that no one member can hold all others
 off. A verdict is kept by one accuser, who has the trials' failures, and ends when nobody says anything any more.
@@ -84,7 +84,6 @@
 
     points: int = 0
     ended: bool = False
-    first: int = 0
     last: int = 0
 
 
@@ -92,7 +91,6 @@
 class _Verdict:
     """A node that is avoided."""
 
-    since: int
     tried: int  # when the last trial began, or the verdict
     pause: int = PAUSE_NS
     number: int = 0
@@ -208,9 +206,9 @@
             self._say_soon(now, What.ZONE, self._marks.get(zone, 0), 0, Word.FAILS)
 
     def _failed(self, now: int, server: str, mark: int, cls: int, ended: bool) -> None:
-        own = self._own.setdefault((server, cls), _Own(first=now))
+        own = self._own.setdefault((server, cls), _Own())
         if now - own.last > RECENT_NS:
-            own.points, own.first, own.ended = 0, now, False
+            own.points, own.ended = 0, False
         own.points, own.last, own.ended = own.points + 1, now, own.ended or ended
         accused = any(s.fact.word and s.fact.detail == cls + 1 for s in self.facts.about(now, What.NODE, mark))
         if own.points >= POINTS or ended or accused:
@@ -227,18 +225,16 @@
         due = self._due.get((what, mark, detail))
         if due is not None and due.word:
             del self._due[what, mark, detail]
-        words = [s for s in self.facts.about(now, what, mark) if s.fact.detail == detail]
-        mine = next((s for s in words if s.owner == self.me), None)
-        accused = [s for s in words if s.fact.word]
-        if mine is not None and mine.fact.word or mine is None and any(s.at < sent for s in accused):
+        fails, well = self._words(now, what, mark, detail)
+        mine = self._mine(fails, well)
+        if mine is not None and mine.fact.word or mine is None and any(s.at < sent for s in fails):
             self._say_soon(now, what, mark, detail, Word.WELL)
 
     def _say_soon(self, now: int, what: What, mark: int, detail: int, word: Word) -> None:
         subject = (what, mark, detail)
         if subject in self._due and self._due[subject].word is word:
             return
-        mine = next((s for s in self.facts.about(now, what, mark)
-                     if s.owner == self.me and s.fact.detail == detail), None)  # fmt: skip
+        mine = self._mine(*self._words(now, what, mark, detail))
         if mine is not None and mine.fact.word is word and now - mine.at < LASTS_NS // 2:
             return
         self._due[subject] = _Due(now + int(self._random() * SPREAD_NS), word)
@@ -286,7 +282,7 @@
         """Whether enough others have said the same, so that one more word would change nothing."""
         what, mark, detail = subject
         fails, well = self._words(now, what, mark, detail)
-        if any(s.owner == self.me for s in (*fails, *well)):
+        if self._mine(fails, well) is not None:
             return False  # it takes back what it said
         if word:
             return len(fails) >= 2 * WITNESSES and self._holds(fails, well)
@@ -298,23 +294,30 @@
         words = [s for s in self.facts.about(now, what, mark) if s.fact.detail == detail]
         return [s for s in words if s.fact.word], [s for s in words if not s.fact.word]
 
+    def _mine(self, fails: list[Said], well: list[Said]) -> Said | None:
+        return next((s for s in (*fails, *well) if s.owner == self.me), None)
+
+    def _near(self, words: list[Said]) -> int:
+        """How many of them are of this member's zone."""
+        return sum(s.fact.zone == self.zone for s in words)
+
     def _holds(self, fails: list[Said], well: list[Said]) -> bool:
         """Whether accusations make a verdict for this member."""
-        near, near_well = ([s for s in words if s.fact.zone == self.zone] for words in (fails, well))
-        if len(near) >= WITNESSES and len(near) > WELL_WEIGHS * len(near_well):
+        near = self._near(fails)
+        if near >= WITNESSES and near > WELL_WEIGHS * self._near(well):
             return True
         zones = {s.fact.zone for s in fails}
         return len(zones) > 1 and len(fails) >= WITNESSES and len(fails) > WELL_WEIGHS * len(well)
 
     def _judge(self, now: int) -> None:
         touched, self._touched = self._touched, set()
-        counts: dict[tuple[int, int], int] = {}
+        found: set[tuple[int, int]] = set()
         for mark in touched:
             if mark in self._nodes.names:
-                counts |= self._judge_node(now, mark)
+                found |= self._judge_node(now, mark)
                 self._hear_trials(now, mark)
                 self._hear_back(now, mark)
-        self._verdicts = {key: v for key, v in self._verdicts.items() if key[0] not in touched or key in counts}
+        self._verdicts = {key: v for key, v in self._verdicts.items() if key[0] not in touched or key in found}
         most = int(SHARE * len(self._nodes.names))
         if len({mark for mark, _ in self._verdicts}) > most:
             weight = {key: len(self._words(now, What.NODE, key[0], key[1] + 1)[0]) for key in self._verdicts}
@@ -322,9 +325,9 @@
             kept = set(list(dict.fromkeys(mark for mark, _ in order))[:most])
             self._verdicts = {key: v for key, v in self._verdicts.items() if key[0] in kept}
 
-    def _judge_node(self, now: int, mark: int) -> dict[tuple[int, int], int]:
-        """The verdicts that stand on one node, with how many accuse it."""
-        found = {}
+    def _judge_node(self, now: int, mark: int) -> set[tuple[int, int]]:
+        """The verdicts that stand on one node."""
+        found = set()
         for detail in {s.fact.detail for s in self.facts.about(now, What.NODE, mark)}:
             fails, well = self._words(now, What.NODE, mark, detail)
             key = (mark, detail - 1)
@@ -332,9 +335,9 @@
             stands = verdict is not None and bool(fails) and len(fails) > WELL_WEIGHS * len(well)
             if not stands and not self._holds(fails, well):
                 continue
-            found[key] = len(fails)
+            found.add(key)
             if verdict is None:
-                verdict = self._verdicts[key] = _Verdict(now, now)
+                verdict = self._verdicts[key] = _Verdict(now)
                 verdict.next = self._next_trial(key, verdict)
                 self.made += 1
             if any(s.fact.word is Word.ENDED for s in fails):
@@ -393,9 +396,8 @@
         zones = []
         for mark, zone in sorted(self._zone_marks.items()):
             fails, well = self._words(now, What.ZONE, mark, 0)
-            near = [s for s in fails if s.fact.zone == self.zone]
-            against = [s for s in well if s.fact.zone == self.zone]
-            if len(near) >= WITNESSES - 1 and len(near) > WELL_WEIGHS * len(against):
+            near = self._near(fails)
+            if near >= WITNESSES - 1 and near > WELL_WEIGHS * self._near(well):
                 zones.append(zone)
         held = sum(1 for zone in self._nodes.zones.values() if zone in zones)
         if held > ZONES * len(self._nodes.zones):
