Ask discovery again within the 6 s after which news counts as told, whatever failed

Seen by reading, then by test: where lists are asked for, the module doubled its pause with every failed call, up to 0.9 of mustAskInNs (policy/roster.py, `news` and `ask_later`): 9 s at ten seconds. The term is now 6 s after discovery had the change and could be reached. After an outage a call of 3 s could stay silent twice before the pause began (net/discovery.py, `_run` forgot that the last call had failed). Ruled out: the pushed form, which never paused so long.

Now the pause is drawn round 0.6 s and does not grow; a call after a failed one asks for no wait, and has 2.5 s, since a discovery that all ask may let it wait for its turn. Where lists are pushed the looks at a silent agent follow the drain grace (0.25 s at the other customer's site, where a look every 0.35 s came too late), from the start of the process on as well: a first call that stayed silent hid the return of the agent for 1 s.

--- a/covetally/net/asking.py
+++ b/covetally/net/asking.py
@@ -3,8 +3,12 @@
 
 One clock holds for the list: a call that stays silent is broken off and asked anew, and what it missed counts as
 told `SILENCE_S` after it fell silent, or `AFTER_WAIT_S` after the end of the wait that it asked for, if that is
-later. Where lists are pushed the agent stands on this machine: after an outage what it has counts at once, so a
-sidecar that has found it silent looks again every few tenths of a second.
+later; whatever failed in between, a change counts as told `SILENCE_S` after discovery had it and was in reach.
+Where lists are pushed the agent stands on this machine: after an outage, and from the start of this process, what
+it has counts at once, so a sidecar that has not heard from it looks again within the drain grace. Where they are
+asked for, discovery is one service for all, which works through calls in turn: a call after a failed one is
+patient, and asks for no wait of its own, and the module draws the pauses between them (`ASK_GAP` in
+covetally/policy/roster.py).
 """
 
 from __future__ import annotations
@@ -18,6 +22,9 @@
 SLACK_S = 1.0  # a call may take so much longer than its wait
 RETRY_S = 0.1  # pause between calls that fail
 LOOK_S = 0.25  # an agent on this machine has answered by then, or is silent
+LOOK_SHARE, RETRY_SHARE = 0.4, 0.15  # a look and the pause after it take such parts of the drain grace at most,
+LEAST_LOOK_S, LEAST_RETRY_S = 0.1, 0.02  # but never less than a process short of CPU needs
+TURN_S = 2.5  # a discovery that all sidecars ask has answered by then, or failed a call that waited too long
 
 
 class Call(NamedTuple):
@@ -27,16 +34,20 @@
     within_s: float
 
 
-def call(pushed: bool, known: bool, failing: bool) -> Call:
+def call(pushed: bool, known: bool, failing: bool, grace_s: float = GRACE_S) -> Call:
     """The next call, where a version of the list is known or not, and the call before it failed or did not."""
-    if pushed and failing:
-        return Call(0 if known else -1, LOOK_S)
-    if not known:
-        return Call(-1, SLACK_S)
+    if failing or not known:
+        look_s = max(LEAST_LOOK_S, min(LOOK_S, LOOK_SHARE * grace_s))
+        return Call(0 if known else -1, look_s if pushed else TURN_S)
     return Call(WAIT_MS, WAIT_MS / 1000 + SLACK_S)
 
 
-def noticed_s(way: Call) -> float:
+def pause_s(grace_s: float = GRACE_S) -> float:
+    """Between two calls that fail, where lists are pushed."""
+    return max(LEAST_RETRY_S, min(RETRY_S, RETRY_SHARE * grace_s))
+
+
+def noticed_s(way: Call, grace_s: float = GRACE_S) -> float:
     """How long after a call fell silent a new one has gone out, at the latest."""
-    return way.within_s + RETRY_S
+    return way.within_s + pause_s(grace_s)
 
--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -95,6 +95,7 @@
 
     def __init__(self, settings: Settings, address: Address) -> None:
         self._settings = settings
+        self._grace_s = settings.invariants.drain_grace_ns / 1e9
         self._address = address
         self._index: int | None = None
         self._stream: Waiting | None = None
@@ -110,7 +111,9 @@
             self._run(self._watch())
 
     def subscribe(self) -> None:
-        """Where lists are asked for, at the module's word: watch until a call fails."""
+        """Where lists are asked for, at the module's word: watch until a call fails. The first to fail is asked
+        anew at once, since a kept connection may have been closed; each further one brings a pause.
+        """
         if self._settings.must_ask and (self._task is None or self._task.done()):
             self._run(self._watch_once())
 
@@ -125,7 +128,7 @@
     def again(self) -> None:
         """Watch anew, beginning with the whole list, whatever was told before."""
         self.stop()
-        self._index = None
+        self._index, self._failing = None, False
         self.start()
         self.subscribe()
 
@@ -136,21 +139,20 @@
         """
         if address == self._address:
             return
-        self._address, self._index = address, None
+        self._address, self._index, self._failing = address, None, False
         watching = self._task is not None and not self._task.done()
         self.stop()
         if watching:
             self._run(self._watch_once() if self._settings.must_ask else self._watch())
 
     def _run(self, work: Any) -> None:
-        self._failing = False
         self._task = asyncio.create_task(work)
         self._task.add_done_callback(_report)
 
     async def _watch(self) -> None:
         while True:
             if not await self._ask():
-                await asyncio.sleep(asking.RETRY_S)  # the first fresh call goes out at once
+                await asyncio.sleep(asking.pause_s(self._grace_s))  # the first fresh call goes out at once
 
     async def _watch_once(self) -> None:
         while await self._ask():
@@ -192,7 +194,8 @@
 
     async def _call(self) -> News:
         """One call on the kept connection, or on a new one."""
-        way = asking.call(not self._settings.must_ask, self._index is not None, self._failing)
+        pushed = not self._settings.must_ask
+        way = asking.call(pushed, self._index is not None, self._failing, self._grace_s)
         target = PATH if way.wait_ms < 0 else f"{PATH}?index={self._index}&wait={way.wait_ms}"
         self._partial.clear()
         async with asyncio.timeout(way.within_s):
--- a/covetally/policy/book.py
+++ b/covetally/policy/book.py
@@ -69,7 +69,6 @@
         self.keys: dict[str, int] = {}
         self.keys_total = 0
         self.asked_at = 0
-        self.ask_pause = settings.invariants.must_ask_in_ns // 4
         self.watching = False
         self.retune(settings)
 
--- a/covetally/policy/roster.py
+++ b/covetally/policy/roster.py
@@ -11,14 +11,14 @@
 from covetally.policy.way import pump
 
 VNODES = 16  # ring points of a server, so that no server owns far more keys than another
+# ns, mean pause before discovery is asked: twice the longest (1.8 of it) and a call without an answer fit into
+# the 6 s after which news counts as told. Drawn, so that a crowd does not ask as one.
+ASK_GAP = 600_000_000
 
 
 def news(b: Book, now: int, event: Directory) -> None:
-    inv = b.settings.invariants
     if event.scope == "FAILED":
-        # Discovery serves all sidecars: every failure doubles the pause, so that a crowd thins out.
         b.watching = False
-        b.ask_pause = min(b.ask_pause * 2, inv.must_ask_in_ns // 2)  # drawn up to 1.8 times
         ask_later(b, now)
         return
     if event.scope == "SAVED":
@@ -26,7 +26,6 @@
             ask_later(b, now)
     else:
         b.watching = b.settings.must_ask
-        b.ask_pause = inv.must_ask_in_ns // 4
     if event.scope != "INCREMENTAL":
         listed = {entry.server for entry in event.entries}
         for name, server in list(b.servers.items()):
@@ -75,6 +74,7 @@
 
 
 def ask_later(b: Book, now: int) -> None:
-    pause = int(b.ask_pause * (0.2 + 1.6 * b.random()))
+    mean = min(ASK_GAP, b.settings.invariants.must_ask_in_ns // 4)
+    pause = int(mean * (0.2 + 1.6 * b.random()))
     b.asked_at = now + pause
     b.acts.append(Defer(pause, 0))
--- a/covetally/rig/discovery.py
+++ b/covetally/rig/discovery.py
@@ -22,7 +22,9 @@
 from covetally.rig.wire import Message, Wire, answer
 
 Entry = dict[str, Any]
-STYLES = ("", "503", "reset", "cut", "indented", "pieces")  # how calls are answered; see `Discovery._write`
+# How calls are answered; see `Discovery._write`. With "brief" each answer is the whole list without the nodes
+# that drain: what it does not name is gone.
+STYLES = ("", "503", "reset", "end", "cut", "indented", "pieces", "brief")
 PIECES, PIECE_S = 12, 0.02
 
 
@@ -128,12 +130,17 @@
         if self.garble:
             wire.write(answer(200, b'{"generation": 1, "instances": [{"instanceId": '))
             return
+        brief = self.style == "brief"
+        whole = whole or brief
         every = [*self._entries.values()] if whole else [*self._entries.values(), *self._left.values()]
         told = every if whole else [e for e in every if self._changed[e["instanceId"]] > index]
+        left_out = [e for e in told if brief and e["lifecycle"] == "leaving"]
+        told = [e for e in told if e not in left_out]
         hosts = self.hosts.get(instance, {})
         there = [e | {"hostPort": hosts.get(e["instanceId"], e["hostPort"])} for e in told]
         body = {"generation": self._generation, "reset": whole, "instances": there}
         rows = [[e["instanceId"], e["lifecycle"], e.get("startedAtMs", 0)] for e in told]
+        rows += [[e["instanceId"], "left", 0] for e in left_out]
         if self._write(wire, body):
             self._tell(["told", instance, time.monotonic_ns(), rows])
 
@@ -147,6 +154,8 @@
                 wire.write(answer(503))
             case "reset":
                 wire.reset()
+            case "end":
+                wire.close()
             case "cut":
                 wire.write(whole[: -len(text) // 2 - 1])
                 loop.call_later(PIECE_S, wire.reset)
@@ -157,7 +166,7 @@
                     loop.call_later(PIECE_S * number, wire.write, piece)
             case _:
                 wire.write(whole)
-        return self.style not in ("503", "reset", "cut")
+        return self.style not in ("503", "reset", "end", "cut")
 
 
 async def _main(spec: dict[str, Any]) -> None:
--- /dev/null
+++ b/tests/crossings/test_list.py
@@ -0,0 +1,104 @@
+"""Discovery fails, refuses or stays silent: the change is known here before it counts as told."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import time
+
+import pytest
+
+from covetally.interface import Directory
+from covetally.net import asking
+from covetally.net.discovery import Discovery, News
+from covetally.policy.roster import ASK_GAP
+from tests.loopback import Server, answer, place, until
+from tests.support import MS, Paper, settings
+
+LONGEST_S = 1.8 * ASK_GAP / 1e9
+
+
+def members(generation: int, *lifecycles: str, whole: bool = True) -> bytes:
+    instances = [
+        {"instanceId": f"s{i}", "hostPort": f"127.0.0.1:{9 + i}", "lifecycle": state}
+        for i, state in enumerate(lifecycles)
+    ]
+    return answer(json.dumps({"generation": generation, "reset": whole, "instances": instances}).encode())
+
+
+def test_the_time_until_news_is_told_has_room_for_what_may_fail_on_the_way():
+    """Where lists are asked for: a silent call, the longest pause, a refused call, the longest pause."""
+    silent = asking.call(False, True, True).within_s
+    assert silent + 2 * LONGEST_S < asking.SILENCE_S
+    watch = asking.call(False, True, False).within_s
+    assert watch + LONGEST_S < asking.SILENCE_S, "and a watch that falls silent, then a refused call"
+
+
+@pytest.mark.parametrize("must_ask_s", [2, 10, 120])
+def test_failed_calls_come_again_in_time_and_not_in_step(must_ask_s):
+    """The pause doubled with every failure up to nine tenths of `mustAskInNs`, whatever that was."""
+    gaps = []
+    for seed in range(8):
+        invariants = {"mustAskInNs": must_ask_s * 1_000 * MS}
+        paper = Paper(settings(discovery="subscribe", invariants=invariants), seed=seed)
+        for _ in range(12):
+            start, asks = paper.now, paper.asks
+            while paper.asks == asks:
+                paper.advance(10 * MS)
+            gaps.append((paper.now - start) / 1e9)
+            paper.feed(Directory("FAILED"))
+    assert max(gaps) <= LONGEST_S + 0.02
+    assert len({round(gap, 2) for gap in gaps}) > 30, "drawn: a crowd does not come as one"
+
+
+@pytest.mark.parametrize("failure", ["refused", "reset", "503"])
+def test_a_drain_is_known_in_time_after_discovery_failed_for_long(failure):
+    """With the longest pauses that may be drawn; mustAskInNs is ten seconds."""
+
+    async def main():
+        numbers = itertools.count(1)
+        state = {"ok": True, "drains": False}
+
+        async def discover(server, got, reader, writer):
+            if not state["ok"]:
+                if failure == "503":
+                    writer.write(answer(b"", b"503 Busy"))
+                writer.close()
+                return
+            lifecycles = ("active", "leaving" if state["drains"] else "active")
+            if b"wait=2000" in got:
+                await asyncio.sleep(0.3)
+            writer.write(members(next(numbers), *lifecycles))
+
+        async with place(more={"discovery": "subscribe", "invariants": {"mustAskInNs": 10_000 * MS}}) as here:
+            server = Server(discover)
+            await server.start()
+            told: list[tuple[float, News]] = []
+            discovery = Discovery(here.sidecar._balancer.book.settings, server.address)
+            discovery.on_list = lambda news: (
+                told.append((time.monotonic(), news)),
+                here.sidecar.directory(Directory("FULL", tuple(entry for entry, _ in news.entries))),
+            )
+            discovery.on_failure = lambda: here.sidecar.directory(Directory("FAILED"))
+            here.sidecar._subscribe = discovery.subscribe
+            here.balancer.book.random = lambda: 0.999
+            here.sidecar.directory(Directory("FAILED"))
+            await until(lambda: told)
+            state["ok"] = False
+            if failure == "refused":
+                server.stop()
+            await asyncio.sleep(5.0)  # some failures: the pauses had grown
+            if failure == "refused":
+                again = Server(discover)
+                again._server = await asyncio.start_server(again._serve, *server.address)
+                server = again
+            state.update(ok=True, drains=True)
+            back = time.monotonic()
+            await until(lambda: told[-1][0] > back)
+            assert told[-1][0] - back < LONGEST_S + 0.5
+            assert told[-1][1].entries[1][0].lifecycle == "draining"
+            discovery.stop()
+            server.stop()
+
+    asyncio.run(main())
