Send nothing on for a client that left, past a window or time, or to a draining server

- Client gone, much sent behind its request: Stream stops reading at 16 KiB, and with it goes the sight of the end, so the attempt went on and was tried again.
While an answer is owed what comes is now dropped, never left.
- Client gone, loop late: an outcome read before the client's end in the same round sent another attempt, and so did a request that waited for its turn.
Each write of a request now asks the kernel, unless it was asked in the last 20 ms.
- A keyed repeat was held to its window when submitted, and written whenever its connection was up (up to the connect time-out later): `Submit.begin_by_ns` goes with it to the write.
- An attempt whose time was up when a late loop came to write it told its server a negative X-Expires-In.
- A drain left dials and half-written requests four fifths of its grace, counted from when this process knew: they go elsewhere at once, as never sent, and nothing is held against the server.
The timer for each drain is gone.
- A drain closed the listener over connections that waited for a place.
It lets them in as others make room.
- A close with the client's bytes unread reset the connection and took an answer still in the kernel with it: when making room, and after `Connection: close`.
The first reads them, the second lingers as all last answers do.
- A resting connection's timer closed it over a request that a late loop had not read.
- An answer being written when a drain began did not say it was the last: its connection rested on for 4 s.
- At its limit the listener put out a silent client for a connection that had not come.
- SIGHUP before the loop's handler ended the process: it is kept from the first import on.
- A class without a name, and numbers below 0 or not finite, end the start with the key named.

--- a/covetally/__main__.py
+++ b/covetally/__main__.py
@@ -5,11 +5,15 @@
 import os
 import sys
 
-from covetally.configuration import Configuration
-from covetally.logs import set_up
-from covetally.net.config import ConfigError
-from covetally.net.loop import run
-from covetally.process import Process
+from covetally.net import early
+
+early.keep()  # before the imports that take their time
+
+from covetally.configuration import Configuration  # noqa: E402
+from covetally.logs import set_up  # noqa: E402
+from covetally.net.config import ConfigError  # noqa: E402
+from covetally.net.loop import run  # noqa: E402
+from covetally.process import Process  # noqa: E402
 
 
 def operator_file(arguments: list[str]) -> str | None:
--- a/covetally/interface/__init__.py
+++ b/covetally/interface/__init__.py
@@ -156,10 +156,14 @@
         return value
 
     def int(self, key: str, default: int) -> int:
-        return int(self._get(key, (int, float), default))
+        return int(self.number(key, default))
 
     def number(self, key: str, default: float) -> float:
-        return float(self._get(key, (int, float), default))
+        """A finite number of at least 0: no setting has a meaning below."""
+        value = self._get(key, (int, float), default)
+        if not 0 <= value < float("inf"):
+            raise SettingsError(f"{self._path}.{key} has to be a finite number of at least 0: {value!r}")
+        return value
 
     def text(self, key: str, default: str) -> str:
         return self._get(key, (str,), default)
@@ -181,11 +185,13 @@
 
 
 def _request_class(item: _Reader) -> RequestClass:
-    deadline = item.int("hardLimitNs", 0)
+    deadline, name = item.int("hardLimitNs", 0), item.text("name", "")
     if deadline <= 0:
         raise SettingsError(f"{item._path}.hardLimitNs must be above 0")
+    if not name:
+        raise SettingsError(f"{item._path}.name is empty or absent")
     return RequestClass(
-        name=item.text("name", ""),
+        name=name,
         aim_ns=min(item.int("onTimeNs", deadline) or deadline, deadline),
         deadline_ns=deadline,
         worth=item.number("credit", 1.0),
@@ -361,11 +367,13 @@
 
 
 class Submit(NamedTuple):
-    """Start the next attempt for a request, given up at `abandon_ns`."""
+    """Start the next attempt for a request, given up at `abandon_ns` and not begun past `begin_by_ns`, where that
+    is not 0: a repeat is harmless until then only, however long its connection takes to come up."""
 
     tid: str
     server: str
     abandon_ns: int
+    begin_by_ns: int = 0
 
 
 class Refuse(NamedTuple):
--- /dev/null
+++ b/covetally/net/early.py
@@ -0,0 +1,18 @@
+"""SIGHUP before there is a loop to hear it. Its default ends a process, and a start takes tenths of a second:
+a platform that tells all sidecars of a new configuration also tells those that are just coming up."""
+
+from __future__ import annotations
+
+import signal
+
+_told: list[int] = []
+
+
+def keep() -> None:
+    """From here on a SIGHUP is kept until somebody asks for it."""
+    signal.signal(signal.SIGHUP, lambda number, _frame: _told.append(number))
+
+
+def told() -> bool:
+    """Whether one has come since `keep`."""
+    return bool(_told)
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -232,6 +232,17 @@
     return listener
 
 
+class _Found(enum.Enum):
+    """What a look at the listener came to."""
+
+    LET_IN = enum.auto()  # one connection was taken from it, and there may be more
+    NOBODY = enum.auto()
+    NO_ROOM = enum.auto()  # there may be some, and none can be had now
+
+
+LET_IN, NOBODY, NO_ROOM = _Found
+
+
 class Frontend:
     """Lets clients in under a budget of descriptors and sees each connection through."""
 
@@ -288,39 +299,41 @@
         asyncio.get_running_loop().remove_reader(self._listener)
 
     def _accept(self) -> None:
-        for _ in range(self._burst):
-            if not self._let_in():
+        for turn in range(self._burst):
+            if turn and len(self._clients) >= self._limit:
+                return  # nobody is put out before it is known that somebody waits
+            if self._let_in() is not LET_IN:
                 return
 
-    def _let_in(self) -> bool:
-        """Let one connection in; False if there is none, or no room for it."""
+    def _let_in(self) -> _Found:
+        """Let one connection in, if there is one and room for it."""
         if len(self._clients) >= self._limit and not self._evict():
             self._pause()  # every connection has a request under way; the first to end makes room
-            return False
+            return NO_ROOM
         try:
             sock, _ = self._listener.accept()
         except BlockingIOError:
-            return False
+            return NOBODY
         except OSError as error:
             if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                return True  # that one connection is gone
+                return LET_IN  # that one connection is gone
             # The listener stays readable: without a pause the loop would spin on it and serve nobody.
             log.warning("cannot accept: %s", error)
             self._evict()
             self._pause()
             asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._resume)
-            return False
+            return NO_ROOM
         if not tcp_info(sock)[0]:
             # Guards against a full backlog of clients that gave up while they waited: to read and answer what
             # they sent, which nobody will see, would make those wait who are still there. It ought to catch
             # any crowd that connects and leaves. It does harm to a client that closes its side for writing
             # and still waits for an answer, which the protocol takes for gone as well.
             sock.close()
-            return True
+            return LET_IN
         sock.setblocking(False)
         client = _Client(self, sock)
         self._fresh[client] = self._clients[client] = None
-        return True
+        return LET_IN
 
     def _evict(self) -> bool:
         """Make room. First goes who has had a last answer, then who has said nothing yet, then who rests
@@ -465,9 +478,11 @@
         self._close_waiting()  # early: a request that crosses this finds the listener open
         if accept:
             await asyncio.sleep(ACCEPT_ON_S)
+            # What waits in the backlog has been taken by this machine: it is let in, as others make room.
+            while (found := self._let_in()) is not NOBODY and loop.time() < end:
+                if found is NO_ROOM:
+                    await asyncio.sleep(ACCEPT_PAUSE_S)
         self._pause()
-        while accept and self._let_in():  # what waits in the backlog has been taken by this machine
-            pass
         self._listener.close()
         await asyncio.sleep(HALF_SENT_S)
         # Who has begun to send may end it: once its last byte is written, an answer is owed. The others are
@@ -481,7 +496,7 @@
             except TimeoutError:
                 log.warning("drain: %d connections cut off", len(self._clients))
         for client in list(self._clients):
-            client.close(reset=True)
+            client.close(reset=client not in self._lingering)
 
     def _close_waiting(self) -> None:
         for client in [*self._fresh, *self._idle]:
@@ -572,6 +587,8 @@
         self._release()
         if self._timer is not None:
             self._timer.cancel()
+        if phase is LINGERING and not reset:
+            self.stream.empty()  # its last answer may still be on its way
         self.stream.abort(reset)
         if phase is WAITING and self._tid:
             self._frontend.sidecar.hang_up(self._tid)
@@ -611,6 +628,8 @@
         elif self._phase is READING and self.in_message:
             # Guards against whoever sends slowly or never ends, whatever part is missing.
             self._reject(408, "the request took too long to come")
+        elif self._phase is READING and self.stream.disturbed():
+            self._wait_for(HALF_SENT_S)  # the loop has not read yet what has come
         else:
             self.close()
 
@@ -624,6 +643,11 @@
                 self.close()
         elif stream.closing or stream.lost:
             self.close()  # as in `_let_in`: nobody is there to see an answer to what has come
+        elif phase is WAITING and stream.paused:
+            # Guards against clients that send much behind a request and go: with its reading stopped nobody would
+            # see them leave, and the request would be tried again for nobody. What comes behind it is no request.
+            stream.drop()
+            self.surplus = True
         elif phase is READING:
             if self._frontend.due(self):
                 self.go_on()
@@ -751,9 +775,18 @@
         age_ns = time.monotonic_ns() - stream.received_at  # its time counts from its last byte
         let_in, self._let_in = self._let_in, False
         self._tid = frontend.sidecar.take(self, arrival, age_ns, let_in, self._trace_id)
+        if self._phase is CLOSED:  # found to have left, before the id was known by which it is hung up
+            frontend.sidecar.hang_up(self._tid)
 
     # --- the answer -----------------------------------------------------------------------------
 
+    def wanted(self) -> bool:
+        """Whether its client is still there (see `Exchange`). Asks the kernel: the loop may be late with the
+        news, and what begins after a client has left is work for nobody."""
+        if self._phase is WAITING and not self.stream.present():
+            self.close()
+        return self._phase is WAITING
+
     def finish(self, answer: Answer) -> None:
         """Give the whole answer (see `Exchange`)."""
         if self._phase is not WAITING:
@@ -813,14 +846,13 @@
         if not self._last and (stream.recycle() if self.in_message else not stream.leftover):
             self.in_message = False
             self._phase = READING
-            self._wait_for(IDLE_S)
+            # One that was being written when the drain began did not say that it is the last.
+            self._wait_for(HALF_SENT_S if self._frontend.draining else IDLE_S)
             self._frontend.idle(self)
             if self._frontend.gate is not None:
                 self._frontend.gate.idle(self)
-        elif self._last or stream.leftover:
-            self._linger()
         else:
-            self.close()
+            self._linger()
 
     def _linger(self) -> None:
         """Close after a last answer.
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -36,7 +36,7 @@
 )
 from covetally.net.clock import Clock
 from covetally.net.message import Answer, encode
-from covetally.net.upstream import Attempt, Outcome, Request, Upstream
+from covetally.net.upstream import Attempt, Bounds, Outcome, Request, Upstream
 from covetally.net.wheel import Timer
 from covetally.policy import Balancer
 
@@ -77,6 +77,9 @@
     @property
     def request(self) -> Request: ...
 
+    def wanted(self) -> bool:
+        """Whether its client is still there; one that has left is hung up."""
+
     def finish(self, answer: Answer) -> None:
         """Give the whole answer."""
 
@@ -271,9 +274,8 @@
             asyncio.get_running_loop().call_soon(self._handle, event)
             return
         done = partial(self._settle, action, call, number, now)
-        call.attempts[number] = self._upstream.attempt(
-            action.server, call.exchange.request, abandon_ns, done
-        )
+        bounds = Bounds(abandon_ns, call.exchange.wanted, action.begin_by_ns)
+        call.attempts[number] = self._upstream.attempt(action.server, call.exchange.request, bounds, done)
 
     def _settle(self, action: Submit, call: _Call, number: int, sent_ns: int, outcome: Outcome) -> None:
         """Tell the module an attempt's one outcome."""
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -19,7 +19,9 @@
 
 log = logging.getLogger(__name__)
 
+MOST_READS = 4  # before a close: more than a peer that keeps to the protocol can have sent
 RECEIVE = 32 * 1024  # one read; small, since every connection may have one read waiting to be parsed
+LOOK_NS = 20_000_000  # so long a look into the kernel for the peer's leaving holds
 READ_AHEAD = 16 * 1024  # reading pauses while this much waits: backpressure to the peer
 ESTABLISHED = 1  # a TCP state, as Linux numbers them
 _STATE, _LAST_RECEIVED = 0, slice(52, 56)  # in Linux's `struct tcp_info`; the latter in ms,
@@ -63,8 +65,8 @@
     """
 
     __slots__ = (
-        "closing", "eof", "lost", "on_news", "on_room", "received_at", "sock",
-        "_fd", "_inbox", "_loop", "_out", "_paused", "_reader",
+        "closing", "eof", "looked_at", "lost", "on_news", "on_room", "paused", "received_at", "sock",
+        "_fd", "_inbox", "_loop", "_out", "_reader",
     )  # fmt: skip
 
     def __init__(
@@ -77,9 +79,10 @@
         self.lost = False
         self.closing = False  # the kernel has met the end, which is still to be read
         self.received_at = time.monotonic_ns()  # when bytes came last to this machine
+        self.looked_at = self.received_at  # when the kernel was last asked whether the peer is there
+        self.paused = False  # reading has stopped: neither more bytes nor the end are seen until some are taken
         self._inbox = b""
         self._out: bytes | memoryview = b""  # what the kernel could not take yet
-        self._paused = False
         self._loop = asyncio.get_running_loop()
         self._fd = sock.fileno()
         self._loop.add_reader(self._fd, self._readable)
@@ -101,9 +104,10 @@
                 # were served.
                 up, lain_ns = tcp_info(self.sock)
                 self.closing = not up
-                self.received_at = time.monotonic_ns() - lain_ns
-                if len(self._inbox) >= READ_AHEAD and not self._paused:
-                    self._paused = True
+                self.looked_at = time.monotonic_ns()
+                self.received_at = self.looked_at - lain_ns
+                if len(self._inbox) >= READ_AHEAD and not self.paused:
+                    self.paused = True
                     self._loop.remove_reader(self._fd)
             else:
                 self.eof = True
@@ -167,7 +171,7 @@
                 raise reader.error
             if self._inbox:
                 data, self._inbox = self._inbox, b""
-                if self._paused:
+                if self.paused:
                     self._go_on()
                 reader.feed(data)
                 if not parts and reader.error is not None:
@@ -179,7 +183,7 @@
         return parts
 
     def _go_on(self) -> None:
-        self._paused = False
+        self.paused = False
         if not (self.eof or self.lost):
             self._loop.add_reader(self._fd, self._readable)
 
@@ -190,10 +194,17 @@
     def drop(self) -> int:
         """Forget what has come and was not read; how many bytes that were."""
         data, self._inbox = self._inbox, b""
-        if self._paused:
+        if self.paused:
             self._go_on()
         return len(data)
 
+    def present(self) -> bool:
+        """Whether the peer is still there: the kernel has met no end that is still to be read."""
+        now = time.monotonic_ns()
+        if now - self.looked_at > LOOK_NS:
+            self.closing, self.looked_at = not tcp_info(self.sock)[0], now
+        return not (self.closing or self.ended)
+
     def recycle(self) -> bool:
         """Make ready for the next message; False if this connection must not carry one."""
         reader = self._reader
@@ -262,6 +273,16 @@
             pass
         self.sock.close()
 
+    def empty(self) -> None:
+        """Read and drop what came and was not read: over it a close resets the connection, and what the kernel
+        still has to send is lost with it."""
+        try:
+            for _ in range(MOST_READS):
+                if not self.sock.recv_into(_landing):
+                    return
+        except OSError:
+            pass
+
     def detach(self) -> tuple[socket.socket, bytes]:
         """Give the socket away, with the bytes that were read from it and not used. To this stream it is lost."""
         self.lost = True
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -57,9 +57,9 @@
 WARY_S = 10.0  # connections are not trusted for so long after one broke when it was used again,
 WARY_HOLD_BACK_S = 0.003  # and the last byte waits so long on each: about a round trip within a data centre
 SETTLE_S = 0.001  # a connection is used again no sooner: what comes right behind an answer must show first
+LEAST_LEFT_NS = 1_000_000  # told as 0.000 s, or as less than nothing, a time would be no time
 MAX_INTERIM = 16  # 1xx answers ahead of the answer
 TAIL_S = 0.05  # wait for the rest of an error answer, whose head has told all: worth a kept connection
-DRAIN_MARGIN = 0.8  # share of the drain grace within which a request's last byte must be written
 
 Load = Mapping[str, float]
 NO_LOAD: Load = {}
@@ -92,6 +92,15 @@
         return b"\r\n".join(lines)
 
 
+class Bounds(NamedTuple):
+    """What an attempt keeps to: it is given up at `abandon_ns`, not begun past `begin_by_ns` (0: no such bound),
+    and not begun once its client has left, which `wanted` finds out."""
+
+    abandon_ns: int
+    wanted: Callable[[], bool]
+    begin_by_ns: int = 0
+
+
 class Outcome(NamedTuple):
     """How an attempt ended. `answer` is there if it settles the request; `lag_ns` is what the server took
     for it, without the time for which this process let it lie."""
@@ -125,8 +134,7 @@
     address: Address
     started_ns: int = 0
     epoch: int = 0  # counts the processes seen behind this name
-    leaving: asyncio.TimerHandle | None = None
-    barred: bool = False  # the grace after its drain is over
+    leaving: bool = False  # it drains or has gone: nothing new is written to it
     resting: dict[Stream, float] = field(default_factory=dict)  # and since when, on the loop's clock
     sweep: Timer | None = None  # closes what has rested its time
     unsent: set[Attempt] = field(default_factory=set)
@@ -137,7 +145,6 @@
 
     def __init__(self, settings: Settings, load_fields: frozenset[str], clock: Clock, limit: int) -> None:
         self.loop = asyncio.get_running_loop()
-        self._grace_s = settings.invariants.drain_grace_ns / 1e9 * DRAIN_MARGIN
         self._load_fields = load_fields
         self.clock = clock
         self.wheel = clock.wheel
@@ -176,27 +183,20 @@
             if entry.lifecycle == "removed":
                 gone.add(entry.server)
             elif entry.lifecycle == "up":
-                self._stay(server)
+                server.leaving = False
             else:
                 self._leave(server)
         for name in gone:
             self._leave(self._servers.pop(name))  # an attempt under way still holds it, nothing else does
 
-    def _stay(self, server: _Server) -> None:
-        if server.leaving is not None:
-            server.leaving.cancel()
-            server.leaving, server.barred = None, False
-
     def _leave(self, server: _Server) -> None:
+        """What is not written yet goes elsewhere. That it may have counted as told for a while already, and how
+        long a connection would still take to come up, are no questions then."""
         self._close_resting(server)
-        if server.leaving is None:
-            server.leaving = self.loop.call_later(self._grace_s, self._bar, server)
-
-    def _bar(self, server: _Server) -> None:
-        """A request still being written when the grace ends would be new to a server that wants none."""
-        server.barred = True
-        for attempt in list(server.unsent):
-            attempt.bar()
+        if not server.leaving:
+            server.leaving = True
+            for attempt in server.unsent:
+                self.loop.call_soon(attempt.bar)  # the module has the same news by then
 
     # --- connections ----------------------------------------------------------------------------
 
@@ -286,12 +286,12 @@
     # --- attempts -------------------------------------------------------------------------------
 
     def attempt(
-        self, name: str, request: Request, abandon_ns: int, done: Callable[[Outcome], None]
+        self, name: str, request: Request, bounds: Bounds, done: Callable[[Outcome], None]
     ) -> Attempt:
         """Send the request once. `done` is told how it ended, once and never from within this call or `cancel`.
         Its connection is closed before any failure is told, so that the module never starts a second copy while
         the first is still out."""
-        return Attempt(self, self._servers.get(name), request, abandon_ns, done)
+        return Attempt(self, self._servers.get(name), request, bounds, done)
 
     def read_load(self, text: bytes) -> Load:
         """A load report, empty if it cannot be read."""
@@ -315,17 +315,17 @@
     """One attempt, from its start to its one outcome."""
 
     __slots__ = (
-        "_abandon", "_abandon_ns", "_answered", "_began_ns", "_body", "_done", "_epoch", "_head",
+        "_abandon", "_answered", "_began_ns", "_body", "_bounds", "_done", "_epoch", "_head",
         "_hold_back_s", "_interim", "_last", "_load", "_owner", "_pause", "_phase", "_request", "_reused",
         "_sent", "_server", "_socket", "_starting", "_stream", "_verdict",
     )  # fmt: skip
 
     def __init__(
-        self, owner: Upstream, server: _Server | None, request: Request, abandon_ns: int,
+        self, owner: Upstream, server: _Server | None, request: Request, bounds: Bounds,
         done: Callable[[Outcome], None],
     ) -> None:  # fmt: skip
         self._owner, self._request, self._done = owner, request, done
-        self._abandon_ns = abandon_ns
+        self._bounds = bounds
         self._stream: Stream | None = None
         self._socket: socket.socket | None = None  # while it connects
         self._pause: asyncio.TimerHandle | Timer | None = None  # ends CONNECTING, SETTLING, HOLDING and TAIL
@@ -341,14 +341,14 @@
         self._phase = CONNECTING
         self._abandon: Timer | None = None
         self._starting = True  # no outcome must be told yet
-        if server is None:
+        if server is None or server.leaving:
             self._phase = OVER
-            self._tell(Outcome(How.CONNECT_FAILED, NO_LOAD))
+            self._tell(Outcome(How.MOOT if server else How.CONNECT_FAILED, NO_LOAD))
             return
         self._server = server
         server.unsent.add(self)
         self._began_ns = time.monotonic_ns()
-        self._abandon = owner.wheel.call_at(owner.clock.loop_time(abandon_ns), self._abandoned)
+        self._abandon = owner.wheel.call_at(owner.clock.loop_time(bounds.abandon_ns), self._abandoned)
         try:
             self._begin()
         except Exception:
@@ -428,7 +428,11 @@
         """Write the request, the last byte last: before it nothing has run, whatever happens. `looked` spares the
         look at a connection that was found in order just now."""
         self._pause = None
-        data = self._request.encode((self._abandon_ns - self._owner.clock.now()) / 1e9)
+        left_ns = self._bounds.abandon_ns - self._owner.clock.now()
+        if left_ns < LEAST_LEFT_NS or not self._bounds.wanted():
+            self._end(How.MOOT)  # this process is late, or nobody is left to have the answer
+            return
+        data = self._request.encode(left_ns / 1e9)
         if not hold_back_s:
             self._last = data
             self._write_last(looked)
@@ -447,9 +451,13 @@
         self._pause = None
         stream = self._stream
         assert stream is not None
-        if self._server.barred or (not looked and stream.disturbed()):
+        if not looked and stream.disturbed():
             self._unfit()
             return
+        begin_by_ns = self._bounds.begin_by_ns
+        if begin_by_ns and self._owner.clock.now() >= begin_by_ns:
+            self._end(How.MOOT)  # its connection took too long to come up
+            return
         self._phase = LAST
         if self._send(self._last):
             self._written()
@@ -492,9 +500,9 @@
             self._end(How.RESET)
 
     def bar(self) -> None:
-        """The server wants nothing new any more, and this is not written yet."""
-        if self._stream is not None:  # one that connects meets the bar when it is up
-            self._end(How.CONNECT_FAILED)
+        """The server wants nothing new any more. That says nothing against it."""
+        if not self._sent and self._server.leaving:
+            self._end(How.MOOT)
 
     # --- the answer -----------------------------------------------------------------------------
 
--- a/covetally/policy/rules.py
+++ b/covetally/policy/rules.py
@@ -61,7 +61,8 @@
     abandon_at = call.deadline
     if now < call.aim_at < abandon_at and not call.cls.late_worth > 0:
         abandon_at = call.aim_at
-    b.acts.append(Submit(call.tid, server.name, abandon_at))
+    by = call.ran_at + call.cls.window_ns if call.ran_on and call.cls.repeat == "guarded" else 0
+    b.acts.append(Submit(call.tid, server.name, abandon_at, by))
 
 
 def finish(b: Book, now: int, call: Call, hold_off: int) -> None:
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -17,6 +17,7 @@
 
 from covetally.configuration import NO_ROSTER, Configuration
 from covetally.interface import Directory
+from covetally.net import early
 from covetally.net.clock import Clock
 from covetally.net.config import ConfigError
 from covetally.net.discovery import Discovery, ListError, News, read_list
@@ -131,11 +132,11 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
-        early = asyncio.Event()  # a reload asked for before there is anything to reload
-        loop.add_signal_handler(signal.SIGHUP, early.set)
+        asked = asyncio.Event()  # a reload asked for before there is anything to reload
+        loop.add_signal_handler(signal.SIGHUP, asked.set)
         await self._start()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        if early.is_set():
+        if asked.is_set() or early.told():
             self.reload()
         if self.manager is not None:
             self.manager.start()
--- /dev/null
+++ b/tests/crossings/test_ending.py
@@ -0,0 +1,186 @@
+"""Ends that cross something: a connection in the backlog, bytes in the moment of a close, an early signal."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+
+import pytest
+
+from covetally.net import frontend
+from tests.loopback import answer, fine, place, read_message, request, until
+
+
+def test_a_drain_lets_in_what_waits_in_the_backlog_though_there_is_no_room_yet():
+    """Every place was taken when the listener closed, and what waited there was reset."""
+
+    async def main():
+        release = asyncio.Event()
+
+        async def wait(server, got, reader, writer):
+            await release.wait()
+            await fine(server, got, reader, writer)
+
+        classes = [{"name": "look", "onTimeNs": 5 * 10**9, "hardLimitNs": 5 * 10**9, "repeat": "free"}]
+        async with place(wait, wait, clients=2, classes=classes) as here:
+            held = [await here.connect() for _ in range(2)]
+            for number, (_, writer) in enumerate(held):
+                writer.write(request(f"held{number}", expires="5"))
+            await until(lambda: here.sidecar.open == 2)
+            waiting = asyncio.create_task(here.status(request("waits", expires="5")))
+            await asyncio.sleep(0.05)
+            assert here.frontend.connections == 2
+            asyncio.get_running_loop().call_later(0.8, release.set)
+            await here.frontend.drain(5.0)
+            assert await waiting == 200
+            for reader, writer in held:
+                assert b" 200 " in await read_message(reader)
+                writer.close()
+
+    asyncio.run(main())
+
+
+def test_nobody_is_put_out_while_nobody_waits_for_the_room():
+    """With the last place taken the next look at the listener made room for a connection that had not come."""
+
+    async def main():
+        async with place(fine, clients=3) as here:
+            held = [await here.connect() for _ in range(3)]
+            await until(lambda: here.frontend.connections == 3)
+            await asyncio.sleep(0.05)
+            assert here.frontend.connections == 3
+            for number, (reader, writer) in enumerate(held):
+                writer.write(request(f"r{number}"))
+                assert b" 200 " in await read_message(reader)
+                writer.close()
+
+    asyncio.run(main())
+
+
+def test_making_room_does_not_destroy_a_last_answer_on_its_way():
+    """A close over unread bytes resets the connection, and with it goes what the kernel has still to send."""
+
+    async def main():
+        body = b"y" * 60_000
+
+        async def large(server, got, reader, writer):
+            writer.write(answer(body))
+
+        async with place(large) as here:
+            asks = socket.socket()
+            asks.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # most of it stays with the kernel here
+            asks.connect(here.address)
+            asks.setblocking(False)
+            await until(lambda: here.frontend._clients)
+            (client,) = here.frontend._clients
+            client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1024 * 1024)
+            asks.send(request("large", more="Connection: close\r\n"))
+            await until(lambda: here.frontend._lingering)
+            asks.send(b"more")  # the loop has not run since
+            assert here.frontend._evict()
+            got = b""
+            while piece := await asyncio.get_running_loop().sock_recv(asks, 65536):
+                got += piece
+            assert got.endswith(body)
+            asks.close()
+
+    asyncio.run(main())
+
+
+def test_a_rest_that_is_over_does_not_end_over_a_request_in_the_kernel(monkeypatch):
+    """The timer of a resting connection came up while a late loop had not read yet what had come."""
+    monkeypatch.setattr(frontend, "IDLE_S", 0.1)
+
+    async def main():
+        async with place(fine) as here:
+            asks = socket.create_connection(here.address)
+            reader, writer = await asyncio.open_connection(sock=asks)
+            writer.write(request("one"))
+            await read_message(reader)
+            time.sleep(0.2)  # the loop is late: the timer is due
+            os.write(asks.fileno(), request("two"))
+            (client,) = here.frontend._clients
+            client._timer.call()  # and comes first
+            assert (await read_message(reader)).endswith(b"for two")
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_an_answer_that_is_being_written_when_the_drain_begins_is_the_last_on_its_connection():
+    """It did not say so, and its connection rested for seconds, while the process waited for it to end."""
+
+    async def main():
+        body = b"y" * 60_000
+
+        async def large(server, got, reader, writer):
+            writer.write(answer(body))
+
+        async with place(large) as here:
+            asks = socket.socket()
+            asks.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            asks.connect(here.address)
+            await until(lambda: here.frontend._clients)
+            (client,) = here.frontend._clients
+            client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+            asks.send(request("large"))
+            await until(lambda: client._phase is frontend.WRITING)
+            draining = asyncio.create_task(here.frontend.drain(5.0))
+            await asyncio.sleep(0.8)  # past both looks at what rests
+            assert client._phase is frontend.WRITING, "its client is slow"
+            asks.setblocking(False)
+            got = b""
+            while not got.endswith(body):
+                got += await asyncio.get_running_loop().sock_recv(asks, 65536)
+            read_at = time.monotonic()
+            await draining
+            assert time.monotonic() - read_at < 1.0
+            asks.close()
+
+    asyncio.run(main())
+
+
+def test_a_sighup_during_the_start_is_kept_until_it_can_be_taken_up(tmp_path):
+    """It ended the process: its handler came with the loop, a few tenths of a second after the start."""
+    pipe = tmp_path / "config"
+    os.mkfifo(pipe)
+    config = {
+        "name": "early", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+        "settings": {"classes": [{"name": "look", "hardLimitNs": 10**9, "repeat": "free"}]},
+    }  # fmt: skip
+
+    def write() -> None:  # blocks until the process reads it
+        with open(pipe, "w", encoding="utf-8") as file:
+            json.dump(config, file)
+
+    async def main():
+        async with asyncio.timeout(20):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "covetally", stderr=asyncio.subprocess.PIPE,
+                env=os.environ | {"EDGE_CONFIG": str(pipe)},
+            )  # fmt: skip
+            reading = await asyncio.to_thread(open, pipe, "w", encoding="utf-8")  # it has begun to read
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+            json.dump(config, reading)
+            reading.close()
+            assert process.stderr is not None
+            log = b""
+            async for line in process.stderr:
+                log += line
+                if b"early ready" in line:
+                    await asyncio.to_thread(write)  # it reads its configuration again
+                if b"taken up its configuration anew" in line:
+                    break
+            else:
+                pytest.fail(f"it ended with {await process.wait()}: {log!r}")
+            process.send_signal(signal.SIGTERM)
+            await process.communicate()
+            assert process.returncode == 0
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/crossings/test_retrying.py
@@ -0,0 +1,100 @@
+"""A further attempt meets its window's end, or its own time's, on the way to its server."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from covetally.interface import How, Submit
+from covetally.net import sidecar, upstream
+from tests.crossings.test_leaving import slow_to_come_up
+from tests.loopback import fine, place, read_message, request, until
+from tests.support import MS, Paper, settings
+
+CLASSES = [
+    {
+        "name": "book", "onTimeNs": 2_500 * MS, "hardLimitNs": 2_500 * MS, "repeat": "guarded", "group": "all",
+        "windowNs": 400 * MS, "credit": 1.0,
+    },
+]  # fmt: skip
+LIMITS = {"maxAttempts": 4, "connectTimeoutNs": 2_000 * MS}
+
+
+def submits(paper: Paper, actions) -> list[Submit]:
+    return [action for action in actions if isinstance(action, Submit)]
+
+
+def test_a_keyed_repeat_says_by_when_it_has_to_begin():
+    paper = Paper(settings(limits={"maxAttempts": 4}), servers=4)
+    for cls, guarded in ((2, True), (0, False)):
+        tid = paper.accept(cls)
+        sent_ns = paper.now
+        assert paper.history[tid][0][1] == sent_ns
+        paper.advance(50 * MS)
+        (again,) = submits(paper, paper.answer(tid, 0, How.RESET))
+        assert again.begin_by_ns == (sent_ns + 400 * MS if guarded else 0)
+        paper.answer(tid, 1)
+
+
+def test_a_keyed_repeat_whose_connection_comes_up_past_its_window_is_not_begun():
+    """Its window was looked at when it was submitted, and its request written whenever the connection was up."""
+
+    async def main():
+        async def cut(server, got, reader, writer):
+            here.tell(here.servers)  # only now the slow one is there
+            writer.close()
+
+        async with place(cut, fine, limits=LIMITS, classes=CLASSES) as here:
+            here.tell({"s0": here.servers["s0"]})
+            async with slow_to_come_up(here, "s1", tell=False) as got:
+                more = "Idempotency-Key: k1\r\n"
+                asks = asyncio.create_task(here.status(request("r1", "book", b"x", "2.5", more)))
+                await until(lambda: here.servers["s0"].got)
+                await until(lambda: here.upstream.connections)
+                await asyncio.sleep(0.5)
+                assert here.upstream.connections == 1, "the repeat's, still coming up"
+            assert not any(got)
+            assert await asks == 503, "a repeat that was not begun leaves the refusal true: all know the key"
+
+    asyncio.run(main())
+
+
+def test_an_attempt_whose_time_is_up_when_its_connection_is_fit_is_not_written(monkeypatch):
+    """A late loop wrote it all the same, and told its server a time below nothing."""
+    monkeypatch.setattr(upstream, "SETTLE_S", 0.05)
+    monkeypatch.setattr(sidecar, "SWEEP_S", 9.0)  # it would bring the timers forward in which its time is up
+
+    async def main():
+        async with place(fine) as here:
+            reader, writer = await here.connect()
+            writer.write(request("one"))
+            await read_message(reader)
+            writer.write(request("two", expires="0.2"))
+            await until(lambda: here.sidecar._calls)
+            time.sleep(0.4)
+            assert (await read_message(reader)).split()[1] in (b"502", b"503")
+            assert len(here.servers["s0"].got) == 1
+            writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_request_whose_server_drains_while_its_connection_comes_up_goes_elsewhere_at_once():
+    """It waited for the connection, and for the end of the drain's grace; that it went past this hung on how late
+    the news was known here. And nothing is held against a server for its drain."""
+
+    async def main():
+        async with place(fine, fine, limits=LIMITS) as here:
+            slow, other = here.servers["s0"], here.servers["s1"]
+            here.tell({"s0": slow})
+            async with slow_to_come_up(here, "s0", tell=False) as got:
+                here.tell({"s0": slow})
+                asks = asyncio.create_task(here.ask(request("r1")))
+                await until(lambda: here.upstream.connections)
+                here.tell({"s1": other}, "INCREMENTAL")
+                here.tell({"s0": slow}, "INCREMENTAL", "draining")
+                assert (await asks).endswith(b"for r1")
+                assert here.balancer.book.servers["s0"].refused == 0
+            assert not any(got)
+
+    asyncio.run(main())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -152,8 +152,9 @@
         async with asyncio.timeout(WAIT_S):
             yield here
     finally:
-        frontend._pause()
-        frontend._listener.close()
+        if frontend._listener.fileno() >= 0:  # else a drain has closed it
+            frontend._pause()
+            frontend._listener.close()
         for client in list(frontend._clients):
             client.close()
         for server in here.servers.values():
