Take a server out for one failed connection only while most servers are in

At fault: `blame` in policy/verdicts.py halved k for each failed connection, which for k = 1 is out, whatever had become of the others; `may_convict`, which keeps half of the servers in, held for errors and spoilt answers only. A sidecar with few calls had all servers in backoff by turns and refused at once.

Now the last step goes only while most are in.

test_failed_connections_do_not_take_most_servers_out: over sockets, six refusals of six before, six answers now.

--- a/covetally/policy/verdicts.py
+++ b/covetally/policy/verdicts.py
@@ -58,10 +58,8 @@
         server.backoff = min(max(2 * server.backoff, b.horizon), 8 * b.horizon)
         back_off(b, now, server)
     elif how in (CONNECT_FAILED, RESET) and before:
-        if not lone:
-            server.k //= 2
-        elif how == CONNECT_FAILED:
-            server.k = max(1, server.k // 2)
+        if not lone or how == CONNECT_FAILED:  # which takes the last step only where few are out
+            server.k = max(int(lone or not may_convict(b)), server.k // 2)
     elif how == SPOILT and before and not lone and server.bad > STREAK and may_convict(b):
         # Exception "spoilt": one bad answer may come from any server; a streak of them is this server's.
         server.k = 0
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -386,3 +386,28 @@
         assert head.headers[1:] == [(b"x-a", b""), (b"x-b", b"b")]
         assert b"".join(parts) == b"abcdef"
         assert not reader.surplus
+
+
+def test_failed_connections_do_not_take_most_servers_out():
+    """Where a third of all connections comes up too late, a sidecar with few calls had every server in backoff by
+    turns and refused what most of them would have served. Past half of them the cause is shared."""
+
+    async def main():
+        new = traces()
+        async with place(fine, fine, fine, fine, limits={"maxAttempts": 4, "retryAfter": True}) as here:
+            book = here.balancer.book
+            dead, well = (here.servers["s0"], here.servers["s1"]), (here.servers["s2"], here.servers["s3"])
+            for server in dead:
+                server.stop()
+            while book.live > 2:
+                assert await here.status(request(new())) == 200
+            assert {s.name for s in book.up if not s.k} == {"s0", "s1"}, "a failure is a verdict on these"
+            for server in well:
+                server.stop()
+                here.upstream._close_resting(here.upstream._servers["s2" if server is well[0] else "s3"])
+            assert await here.status(request(new())) == 503
+            for server in well:
+                server._server = await asyncio.start_server(server._serve, *server.address)
+            assert [await here.status(request(new())) for _ in range(6)] == [200] * 6
+
+    asyncio.run(main())
