--- a/covetally/net/client.py
+++ b/covetally/net/client.py
@@ -162,7 +162,7 @@
                 self.close()
         elif stream.closing or stream.lost:
             self.close()  # as in `_let_in`: nobody is there to see an answer to what has come
-        elif phase is WAITING and stream.paused:
+        elif phase is WAITING and stream.paused and self._upgrade is None:  # else they are the other protocol's
             # Guards against clients that send much behind a request and go: with its reading stopped nobody would
             # see them leave, and the request would be tried again for nobody. What comes behind it is no request.
             stream.drop()
