--- a/benchmarks/sampled.py
+++ b/benchmarks/sampled.py
@@ -35,6 +35,7 @@
     ("net/upstream.py", ("reserve",), "connect"),
     ("net/outcome.py", ("encode",), "write"),
     ("net/attempt.py", ("_write", "_write_last", "_send"), "write"),
+    ("net/reply.py", (), "attempt"),
     ("net/attempt.py", (), "attempt"),
     ("net/upstream.py", (), "attempt"),
     ("net/sidecar.py", (), "call"),
--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -26,31 +26,19 @@
 import httptools
 
 from covetally.interface import How
-from covetally.net.message import (
-    MAX_BODY,
-    Answer,
-    Broken,
-    End,
-    Malformed,
-    ResponseHead,
-    Switched,
-    check_framing,
-    end_to_end,
-    joined,
-)
-from covetally.net.outcome import NO_LOAD, Bounds, Outcome, Request, Switch
+from covetally.net.message import Broken, End, Malformed, Switched
+from covetally.net.outcome import NO_LOAD, Bounds, Outcome, Request
+from covetally.net.reply import SWITCHED, Come, Reply
 from covetally.net.server import Owner, Server
 from covetally.net.stream import Stream, tcp_info, unconnected
 from covetally.net.wheel import Timer
 
 log = logging.getLogger(__name__)
 
-SERVED = 200
-NEVER_RAN_STATUS = (503, 504)
 LEAST_LEFT_NS = 1_000_000  # told as 0.000 s, or as less than nothing, a time would be no time
-MAX_INTERIM = 16  # 1xx answers ahead of the answer
 TAIL_S = 0.05  # wait for the rest of an error answer, whose head has told all: worth a kept connection
 
+
 class Phase(enum.Enum):
     """How far an attempt has come, which decides what a break proves. See the module's head."""
 
@@ -71,9 +59,9 @@
     """One attempt, from its start to its one outcome."""
 
     __slots__ = (
-        "_abandon", "_answered", "_began_ns", "_body", "_bounds", "_done", "_epoch", "_head",
-        "_hold_back_s", "_interim", "_last", "_load", "_owner", "_pause", "_phase", "_request", "_reused",
-        "_sent", "_server", "_socket", "_starting", "_stream", "_verdict",
+        "_abandon", "_began_ns", "_bounds", "_done", "_epoch", "_hold_back_s", "_last", "_owner",
+        "_pause", "_phase", "_reply", "_request", "_reused", "_sent", "_server", "_socket", "_starting",
+        "_stream", "_verdict",
     )  # fmt: skip
 
     def __init__(
@@ -87,12 +75,8 @@
         self._pause: asyncio.TimerHandle | Timer | None = None  # ends CONNECTING, SETTLING, HOLDING and TAIL
         self._sent = False  # the last byte is the kernel's: from here on it may have run
         self._reused = False
-        self._answered = False  # the head of an answer has come
         self._verdict: How | None = None  # told by an answer's head; nothing after it can change that
-        self._load = NO_LOAD
-        self._head: ResponseHead | None = None  # of an answer that is wanted
-        self._body: bytes | bytearray = b""
-        self._interim = 0
+        self._reply = Reply(request, owner.read_load)
         self._epoch = 0
         self._phase = CONNECTING
         self._abandon: Timer | None = None
@@ -276,19 +260,10 @@
         try:
             while parts := stream.parts():
                 while parts:
-                    part = parts.popleft()
-                    kind = type(part)
-                    if kind is bytes:
-                        self._on_body(part)
-                    elif kind is ResponseHead:
-                        self._on_head(part)
-                        if self._phase is not RECEIVING:
-                            return
-                    elif part is End.MESSAGE:
-                        self._served()
+                    come = self._reply.take(parts.popleft(), self._sent)
+                    if come is not None:
+                        self._came(come)
                         return
-                    else:
-                        raise Broken("ended before an answer")
         except Malformed as error:
             # Guards against any answer that cannot be told to be whole and this request's own. A connection
             # that ends inside an answer is no spoilt answer but a reset.
@@ -297,86 +272,31 @@
         except OSError:
             self._end(How.RESET)
 
-    def _on_body(self, part: bytes) -> None:
-        self._body = joined(self._body, part)
-        if len(self._body) > MAX_BODY:
-            raise Malformed("answer too long")
-
-    def _on_head(self, head: ResponseHead) -> None:
-        if self._request.switch is not None and head.status < 500 and self._sent:
-            self._on_switch(head, self._request.switch)
-            return
-        if head.status < 200:
-            self._interim += 1
-            if self._interim > MAX_INTERIM:
-                raise Malformed("1xx answers without end")
-            return
-        self._answered = True
-        fields = head.fields
-        if b"endpoint-load-metrics" in fields:
-            self._load = self._owner.read_load(fields[b"endpoint-load-metrics"])
-        if self._sent and 400 <= head.status < 500:
-            # Guards against bad requests that pass the front's checks: the request is at fault, so another
-            # server would say the same, and this one is not to be judged by it. It ought to catch anything
-            # that a server finds wrong with a request; it would do harm where servers used 4xx for their own
-            # troubles, which then would not count against them.
-            log.warning("a server turned a request away with %d", head.status)
-            self._finish(Outcome(How.CANCELLED, self._load, Answer(502, []), self._lag_ns()))
-        elif head.status != SERVED or not self._sent:
-            self._on_error(head)
-        else:
-            check_framing(fields)
-            self._head = head
+    def _lag_ns(self) -> int:
+        assert self._stream is not None
+        return max(0, self._stream.received_at - self._began_ns)
 
-    def _on_switch(self, head: ResponseHead, switch: Switch) -> None:
-        """The answer to a request for another protocol. One that is neither an agreement nor a refusal that is
-        the client's to hear is a 502: nothing of it may pass for the other protocol, or for an answer."""
+    def _came(self, come: Come) -> None:
+        """All that counts of the answer is here."""
         stream = self._stream
         assert stream is not None
-        if head.status == 101:
-            switch.check(head)
-            self._answered = True
-            lag_ns = self._lag_ns()
+        if come.how in (How.FULL, How.ERROR):
+            # The head has told all; its rest is worth a short wait, for the sake of the connection.
+            self._verdict = come.how
+            self._phase = TAIL
+            self._wait(TAIL_S, self._end_tail)
+            self._read_tail()
+            return
+        answer, lag_ns = come.answer, self._lag_ns()
+        assert answer is not None
+        if answer.status == SWITCHED:
             sock, early = stream.detach()
             self._stream = None
             self._owner.release()
-            answer = Answer(101, end_to_end(head.headers, head.fields), b"", Switched(sock, early))
-            self._finish(Outcome(How.OK, self._load, answer, lag_ns))
-        elif head.status >= 200:
-            self._answered = True
-            refused = head.status >= 400
-            log.warning("a server answered an upgrade with %d", head.status)
-            kept = [pair for pair in end_to_end(head.headers, head.fields) if pair[0] != b"content-type"]
-            answer = Answer(head.status, kept) if refused else Answer(502, [])
-            self._finish(Outcome(How.CANCELLED, self._load, answer, self._lag_ns()))
-        else:
-            self._interim += 1
-            if self._interim > MAX_INTERIM:
-                raise Malformed("1xx answers without end")
-
-    def _lag_ns(self) -> int:
-        assert self._stream is not None
-        return max(0, self._stream.received_at - self._began_ns)
-
-    def _served(self) -> None:
-        head = self._head
-        assert head is not None
-        answer = Answer(SERVED, end_to_end(head.headers, head.fields), bytes(self._body))
-        outcome = Outcome(How.OK, self._load, answer, self._lag_ns())
-        self._give_back()
-        self._finish(outcome)
-
-    def _on_error(self, head: ResponseHead) -> None:
-        """The head has told all; its rest is worth a short wait, for the sake of the connection."""
-        if head.status in NEVER_RAN_STATUS and (b"x-never-ran", b"1") in head.headers:
-            self._verdict = How.FULL
-        elif self._sent:
-            self._verdict = How.ERROR
-        else:
-            raise Broken("answered before the request was whole")
-        self._phase = TAIL
-        self._wait(TAIL_S, self._end_tail)
-        self._read_tail()
+            answer = answer._replace(switched=Switched(sock, early))
+        elif come.how is How.OK:
+            self._give_back()
+        self._finish(Outcome(come.how, self._reply.load, answer, lag_ns))
 
     def _read_tail(self) -> None:
         stream = self._stream
@@ -398,7 +318,7 @@
     def _end_tail(self) -> None:
         assert self._verdict is not None
         lag_ns = self._lag_ns() if self._stream is not None else 0
-        self._finish(Outcome(self._verdict, self._load, None, lag_ns))
+        self._finish(Outcome(self._verdict, self._reply.load, None, lag_ns))
 
     def _give_back(self) -> None:
         """Keep the connection of a finished exchange if it may carry another."""
@@ -414,7 +334,7 @@
         """Call it off: its connection is closed now, its outcome told soon."""
         if self._phase is not OVER:
             self._starting = True
-            self._finish(Outcome(How.CANCELLED, self._load))
+            self._finish(Outcome(How.CANCELLED, self._reply.load))
 
     def _abandoned(self) -> None:
         """Its time is up. That says of the server only what the sockets show, never how late this process ran.
@@ -437,13 +357,13 @@
         """It has failed: tell what that proves."""
         if self._phase is OVER:
             return
-        if how is How.RESET and self._reused and not self._answered:
+        if how is How.RESET and self._reused and not self._reply.answered:
             self._owner.broke()
         if self._verdict is not None:
             how = self._verdict
         elif not self._sent and how is not How.MOOT:
             how = How.CONNECT_FAILED
-        self._finish(Outcome(how, self._load))
+        self._finish(Outcome(how, self._reply.load))
 
     def _finish(self, outcome: Outcome) -> None:
         self._phase = OVER
