Ask whether a client is there in fewer calls

make test counts the Python calls of a request (128 at most): it was 128.19 with the answer's own state machine, since each write asked `wanted` and that asked `present`.

--- a/covetally/net/client.py
+++ b/covetally/net/client.py
@@ -43,6 +43,7 @@
 IDLE_S = 4.0  # a connection may rest so long between requests
 WRITE_S = 2.0  # a client that does not take its answer for so long is gone
 HALF_SENT_S = 0.1  # for what is still coming when the connection is to end
+LOOK_NS = 20_000_000  # so long a look into the kernel for the client's leaving holds
 LINGER_S = 1.0  # how long a closing connection goes on reading what its client still sends,
 LINGER_BYTES = 1024 * 1024  # and how much of it
 TEXT = [(b"content-type", b"text/plain")]
@@ -302,7 +303,8 @@
     def wanted(self) -> bool:
         """Whether its client is still there (see `Exchange`). Asks the kernel: the loop may be late with the
         news, and what begins after a client has left is work for nobody."""
-        if self._phase is WAITING and not self.stream.present():
+        stream = self.stream
+        if self._phase is WAITING and time.monotonic_ns() - stream.looked_at > LOOK_NS and not stream.present():
             self.close()
         return self._phase is WAITING
 
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -21,7 +21,6 @@
 
 MOST_READS = 4  # before a close: more than a peer that keeps to the protocol can have sent
 RECEIVE = 32 * 1024  # one read; small, since every connection may have one read waiting to be parsed
-LOOK_NS = 20_000_000  # so long a look into the kernel for the peer's leaving holds
 READ_AHEAD = 16 * 1024  # reading pauses while this much waits: backpressure to the peer
 ESTABLISHED = 1  # a TCP state, as Linux numbers them
 _STATE, _LAST_RECEIVED = 0, slice(52, 56)  # in Linux's `struct tcp_info`; the latter in ms,
@@ -199,11 +198,9 @@
         return len(data)
 
     def present(self) -> bool:
-        """Whether the peer is still there: the kernel has met no end that is still to be read."""
-        now = time.monotonic_ns()
-        if now - self.looked_at > LOOK_NS:
-            self.closing, self.looked_at = not tcp_info(self.sock)[0], now
-        return not (self.closing or self.ended)
+        """Whether the peer is still there: the kernel, asked now, has met no end that is still to be read."""
+        self.closing, self.looked_at = not tcp_info(self.sock)[0], time.monotonic_ns()
+        return not (self.closing or self.eof or self.lost)
 
     def recycle(self) -> bool:
         """Make ready for the next message; False if this connection must not carry one."""
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from covetally.net import stream, upstream
+from covetally.net import upstream
 from tests.loopback import Place, answer, fine, place, read_message, request, until
 from tests.support import MS
 
@@ -257,7 +257,7 @@
 def test_a_request_whose_turn_comes_late_is_not_sent_on_for_a_client_that_left(monkeypatch):
     """What has lain here waits for its turn, and its client may leave meanwhile."""
     monkeypatch.setattr("covetally.net.frontend.PROMPT_NS", -1)
-    monkeypatch.setattr(stream, "LOOK_NS", 0)
+    monkeypatch.setattr("covetally.net.client.LOOK_NS", 0)
 
     async def main():
         async with place(fine) as here:
