--- a/tests/crossings/test_ending.py
+++ b/tests/crossings/test_ending.py
@@ -14,10 +14,30 @@
 
 from covetally.net import client
 from covetally.rig.world import Shape, World
-from tests.loopback import WAIT_S, answer, fine, place, read_message, request, until
+from tests.loopback import WAIT_S, Place, Server, answer, fine, place, read_message, request, until
 from tests.test_standing import get
 
 
+BODY = b"y" * 60_000
+
+
+async def large(server: Server, got: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """The script of a server whose answers do not fit into small buffers."""
+    writer.write(answer(BODY))
+
+
+async def slow_reader(here: Place, receives: int, sends: int) -> tuple[socket.socket, client.Client]:
+    """A client that has read nothing yet, and its connection there; both kernels' buffers, in bytes."""
+    asks = socket.socket()
+    asks.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receives)
+    asks.connect(here.address)
+    asks.setblocking(False)
+    await until(lambda: here.frontend._clients)
+    (connection,) = here.frontend._clients
+    connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, sends)
+    return asks, connection
+
+
 async def status_of(address: tuple[str, int], data: bytes) -> int:
     """The status of the answer to these bytes on a connection of their own; 0 if it ends without one."""
     reader, writer = await asyncio.open_connection(*address)
@@ -80,19 +100,8 @@
     """A close over unread bytes resets the connection, and with it goes what the kernel has still to send."""
 
     async def main():
-        body = b"y" * 60_000
-
-        async def large(server, got, reader, writer):
-            writer.write(answer(body))
-
         async with place(large) as here:
-            asks = socket.socket()
-            asks.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # most of it stays with the kernel here
-            asks.connect(here.address)
-            asks.setblocking(False)
-            await until(lambda: here.frontend._clients)
-            (connection,) = here.frontend._clients
-            connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1024 * 1024)
+            asks, connection = await slow_reader(here, receives=4096, sends=1024 * 1024)  # the rest waits
             asks.send(request("large", more="Connection: close\r\n"))
             await until(lambda: here.frontend._lingering)
             asks.send(b"more")  # the loop has not run since
@@ -100,7 +109,7 @@
             got = b""
             while piece := await asyncio.get_running_loop().sock_recv(asks, 65536):
                 got += piece
-            assert got.endswith(body)
+            assert got.endswith(BODY)
             asks.close()
 
     asyncio.run(main())
@@ -130,26 +139,15 @@
     """It did not say so, and its connection rested for seconds, while the process waited for it to end."""
 
     async def main():
-        body = b"y" * 60_000
-
-        async def large(server, got, reader, writer):
-            writer.write(answer(body))
-
         async with place(large) as here:
-            asks = socket.socket()
-            asks.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-            asks.connect(here.address)
-            await until(lambda: here.frontend._clients)
-            (connection,) = here.frontend._clients
-            connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+            asks, connection = await slow_reader(here, receives=2048, sends=2048)
             asks.send(request("large"))
             await until(lambda: connection._phase is client.WRITING)
             draining = asyncio.create_task(here.frontend.drain(5.0))
             await asyncio.sleep(0.8)  # past both looks at what rests
             assert connection._phase is client.WRITING, "its client is slow"
-            asks.setblocking(False)
             got = b""
-            while not got.endswith(body):
+            while not got.endswith(BODY):
                 got += await asyncio.get_running_loop().sock_recv(asks, 65536)
             read_at = time.monotonic()
             await draining
