--- a/covetally/rig/world.py
+++ b/covetally/rig/world.py
@@ -20,6 +20,7 @@
 from covetally.rig.child import Child, Row
 from covetally.rig.datagrams import Datagrams
 from covetally.rig.relay import Relay
+from covetally.rig.system_faults import FaultSchedule
 from covetally.rig.node import Spec
 
 _worlds = itertools.count()
@@ -65,6 +66,7 @@
     folder: Path
     config: dict[str, Any]
     arguments: tuple[str, ...] = ()
+    faults: FaultSchedule | None = None  # in its system calls, from its next start on
     process: asyncio.subprocess.Process | None = None
     killed: bool = False  # on purpose, and not started again since
 
@@ -245,8 +247,12 @@
         instance = self.instances[name]
         path = instance.folder / "config.json"
         path.write_text(json.dumps(instance.config))
-        command = [sys.executable, "-m", "covetally", *instance.arguments]
-        return command, {"EDGE_CONFIG": str(path)}
+        env = {"EDGE_CONFIG": str(path)}
+        launcher: list[str] = []
+        if instance.faults is not None:
+            launcher = ["covetally.rig.fault_launcher"]
+            env["RIG_FAULTS"] = instance.faults.text()
+        return [sys.executable, "-m", *launcher, "covetally", *instance.arguments], env
 
     async def start_instance(self, name: str) -> None:
         """Start it and wait until it takes requests; RuntimeError with its log if it ends instead."""
