--- a/covetally/rig/system_faults.py
+++ b/covetally/rig/system_faults.py
@@ -22,7 +22,8 @@
 SHORT, STEP, STALL = "SHORT", "STEP", "STALL"
 CLOCK, PAUSE = "clock", "pause"
 SOCKET_CALLS = (
-    "socket", "accept", "connect", "recv", "send", "setsockopt", "getsockopt", "epoll_wait", "epoll_ctl",
+    "socket", "accept", "connect", "recv", "send", "client_recv", "client_send", "setsockopt", "getsockopt",
+    "epoll_wait", "epoll_ctl",
 )  # fmt: skip
 FILE_CALLS = ("open", "write", "fsync", "rename", "unlink")
 CALLS = (*SOCKET_CALLS, *FILE_CALLS)
@@ -36,6 +37,8 @@
     "connect": ("EADDRNOTAVAIL", "ENOBUFS", "ENETUNREACH", "EHOSTUNREACH", "ECONNREFUSED", "EAGAIN", "ETIMEDOUT"),
     "recv": ("ECONNRESET", "ETIMEDOUT", "EHOSTUNREACH", "ENOMEM", SHORT),
     "send": ("ECONNRESET", "EPIPE", "ETIMEDOUT", "EHOSTUNREACH", "ENOBUFS", SHORT),
+    "client_recv": (SHORT,),
+    "client_send": (SHORT,),
     "setsockopt": ("ENOMEM", "ENOBUFS"),
     "getsockopt": ("ENOBUFS",),
     "epoll_wait": ("EINTR",),
