Count every span by the monotonic clock; believe no told start that the clocks deny

Cause, read and shown by tests that fail without the mends: slow start took a server's told start in Unix time as it stood, so with clocks an hour apart a server that had just started passed for warm, and one whose machine's clock was put back was no restart (policy/roster.py, enter); freezes, permits and heartbeats' ages in the agent took time.time(), so a step ended a freeze early or kept it an hour longer.

--- a/covetally/cli/drain.py
+++ b/covetally/cli/drain.py
@@ -5,7 +5,6 @@
 
 import functools
 import sys
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -145,7 +144,7 @@
     if as_json:
         show_json({key: table[key] for key in ("out", "permits", "capacity", "floors", "epoch")})
         return
-    now = time.time()
+    now = table["now"]  # the agent's: this machine's clock may be another
     rows = []
     for one in table["out"]:
         lasts = round(now - one["since"]) if one["since"] else ""
--- a/covetally/cli/look.py
+++ b/covetally/cli/look.py
@@ -63,6 +63,10 @@
     print_table(("class", "served", "refused", "failed", "left"), counts)
     if snapshot.get("shed"):
         console.print(f"{snapshot['shed']} requests refused unread, under overload")
+    for name, count in snapshot.get("violations", {}).items():
+        console.print(f"VIOLATION {name}: {count}, see its log")
+    if snapshot.get("closed"):
+        print_table(("connections closed", "count"), sorted(snapshot["closed"].items()))
     if "workers" in snapshot:
         console.print(f"{snapshot['deaths']} workers have ended without being told to")
         columns = ("place", "pid", "state", "open", "lag_ms", "clients", "memory_kib")
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -26,6 +26,7 @@
 from covetally.fleet.rollout import Member, Phase, Plan, Restart, Rollout, Send, State, UndoWanted
 from covetally.fleet.running import Draft, Running
 from covetally.fleet.selector import Selector, parse
+from covetally.fleet.steady_clock import SteadyClock
 from covetally.fleet.store import Revision, RolloutRow, Store
 from covetally.fleet.watchers import Watchers
 from covetally.operator import check
@@ -66,9 +67,14 @@
         self._recover_until = 0.0
         self.recovered = store.get("recovered") == "yes"
         self.freezes = Freezes(store.get("freezes"))
-        self.drains = Drains(store, self.asks, audit.write)
+        self.clock = SteadyClock(store.get("clock"))
+        self._keep_clock()
+        self.drains = Drains(store, self.asks, audit.write, self.clock)
         self._opened = False
 
+    def _keep_clock(self) -> None:
+        self._store.set("clock", self.clock.text())
+
     # --- beginning and end ----------------------------------------------------------------------
 
     def open(self) -> None:
@@ -148,7 +154,7 @@
         instance.offered = ("", "")
         pending = str(hello.get("pending", ""))
         beat = {"digest": hello["digest"], "pending": pending, "counts": {}, "state": "serving"}
-        instance.beat(self._now(), time.time(), beat)
+        instance.beat(self._now(), self.clock.now(), beat)
         link.welcome()
         self._dirty.add(instance.name)
         epoch = hello.get("epoch")
@@ -171,7 +177,7 @@
         now = self._now()
         match message["t"]:
             case "beat":
-                instance.beat(now, time.time(), message)
+                instance.beat(now, self.clock.now(), message)
                 link.send({"t": "seen"})
                 for running in self._of(instance):
                     totals = instance.totals()
@@ -584,24 +590,26 @@
         """Begin nothing planned for what is meant, for so long; durable before it is answered."""
         self._ready()
         self._selector(selector)
-        made = self.freezes.add(selector, time.time(), for_s, who, reason, through)
+        made = self.freezes.add(selector, self.clock.now(), for_s, who, reason, through)
         self._store.set("freezes", self.freezes.text())
+        self._keep_clock()
         self._audit.write(who, "freeze", freeze=made.number, selector=made.selector, for_s=for_s, reason=reason)
-        return self.freezes.table(time.time())[0]
+        return self.freezes.table(self.clock.now())[0]
 
     def thaw(self, who: str, number: int) -> dict[str, Any]:
         """End a freeze; Refused if it is not in force."""
-        ended = self.freezes.lift(number, time.time(), who)
+        ended = self.freezes.lift(number, self.clock.now(), who)
         if ended is None:
             raise Refused("unknown", f"no freeze {number} is in force")
         self._store.set("freezes", self.freezes.text())
+        self._keep_clock()
         self._audit.write(who, "thaw", freeze=number)
-        return next(row for row in self.freezes.table(time.time()) if row["number"] == number)
+        return next(row for row in self.freezes.table(self.clock.now()) if row["number"] == number)
 
     def _not_frozen(self, meant: Selector, who: str) -> None:
-        freeze = self.freezes.blocking(meant, who, time.time())
+        freeze = self.freezes.blocking(meant, who, self.clock.now())
         if freeze is not None:
-            raise Refused("busy", f"{freeze.text(time.time())}: cindersail freeze lift {freeze.number}")
+            raise Refused("busy", f"{freeze.text(self.clock.now())}: cindersail freeze lift {freeze.number}")
 
     def steer(self, who: str, number: int, what: str, reason: str) -> dict[str, Any]:
         """Pause, resume, abort or undo a rollout; Refused where that means nothing."""
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -13,7 +13,6 @@
 import resource
 import socket
 import struct
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import fields
 from typing import Any
@@ -343,7 +342,7 @@
         return web.json_response(self._agent.drains.write_off(request["who"], request.match_info["name"]))
 
     async def freezes(self, request: web.Request) -> web.Response:
-        return web.json_response({"freezes": self._agent.freezes.table(time.time())})
+        return web.json_response({"freezes": self._agent.freezes.table(self._agent.clock.now())})
 
     async def freeze(self, request: web.Request) -> web.Response:
         body = await _body(request)
--- a/covetally/fleet/drains.py
+++ b/covetally/fleet/drains.py
@@ -27,6 +27,7 @@
 from covetally.drainplan.permits import Permits, Stage, next_epoch
 from covetally.drainplan.run import Phase, Run
 from covetally.fleet.registry import Instance
+from covetally.fleet.steady_clock import SteadyClock
 from covetally.fleet.store import Store
 
 LISTENS_S = 3.0
@@ -99,8 +100,8 @@
 class Drains:
     """One order at a time."""
 
-    def __init__(self, store: Store, hands: Hands, write: Callable[..., None]) -> None:
-        self._store, self._hands, self._write = store, hands, write
+    def __init__(self, store: Store, hands: Hands, write: Callable[..., None], clock: SteadyClock) -> None:
+        self._store, self._hands, self._write, self._clock = store, hands, write, clock
         kept = json.loads(store.get(KEPT) or "{}")
         self.run = Run.of(kept["run"]) if kept.get("run") else None
         self.wanted = _wanted(kept["wanted"]) if kept.get("wanted") else Wanted(())
@@ -123,8 +124,8 @@
 
     def preview(self, wanted: Wanted) -> dict[str, Any]:
         """The order's arithmetic, and nothing begun."""
-        account = self._seen(account_of(self._hands.instances.values(), wanted), time.time())
-        order = plan(account, wanted.names, time.time())
+        account = self._seen(account_of(self._hands.instances.values(), wanted), self._clock.now())
+        order = plan(account, wanted.names, self._clock.now())
         return {
             "waves": [{"units": list(wave.units), "seconds": wave.seconds} for wave in order.waves],
             "seconds": order.seconds, "bound_s": order.bound_s, "text": order.text(),
@@ -161,7 +162,7 @@
         if what != "resume":
             for permit in self.permits.open:
                 if permit.number not in self._told:
-                    self.permits.take_back(time.time(), self.account, permit.unit, f"{what} by {who}")
+                    self.permits.take_back(self._clock.now(), self.account, permit.unit, f"{what} by {who}")
         self._save()
         self._write(who, f"drain {what}", order=run.number, reason=why)
         self._arm()
@@ -177,7 +178,7 @@
 
     def table(self) -> dict[str, Any]:
         """The order, its permits, and who is out."""
-        account = self._current(time.time())
+        account = self._current(self._clock.now())
         out = [
             {"unit": name, "zone": unit.zone, "state": entry.state.value, "since": entry.since,
              "cause": entry.cause, "planned": entry.planned}
@@ -186,9 +187,9 @@
         return {
             "order": self.run.table() if self.run is not None else None, "epoch": self.permits.epoch,
             "permits": [permit.table() for permit in self.permits.open], "out": out,
-            "capacity": {zone: round(left, 3) for (_, zone), left in account.capacity(time.time()).items()},
+            "capacity": {zone: round(left, 3) for (_, zone), left in account.capacity(self._clock.now()).items()},
             "floors": {zone: floor for (_, zone), floor in account.floors.zones.items()},
-            "listens_s": round(max(0.0, self._listens_until - time.monotonic()), 1),
+            "now": self._clock.now(), "listens_s": round(max(0.0, self._listens_until - time.monotonic()), 1),
         }  # fmt: skip
 
     # --- the order goes on ----------------------------------------------------------------------
@@ -220,7 +221,7 @@
         if run is None or (run.phase is Phase.DONE and not self.permits.open):
             return
         self._arm()
-        now = time.time()
+        now = self._clock.now()
         before = (run.text(), self.permits.text())
         account = self._current(now)
         self.permits.look(account)
@@ -301,7 +302,7 @@
         denied = await self._hands.step(unit, self.wanted.what, self.permits.epoch)
         if denied and self.run is not None:
             self._told.discard(number)
-            self.permits.take_back(time.time(), self.account, unit, denied)
+            self.permits.take_back(self._clock.now(), self.account, unit, denied)
             self.run.fail(unit, denied)
             self._write("agent", "drain refused", instance=unit, reason=denied)
         else:
--- a/covetally/fleet/freezes.py
+++ b/covetally/fleet/freezes.py
@@ -7,8 +7,8 @@
     lapsed   its time is over; it is shown for a day after
 
 What goes back is never held up: undo, abort and resume work under a freeze. A rollout that runs or is queued
-already goes on: pause it. Times are the wall clock's: one that is set forward ends a freeze early, and its list
-says so.
+already goes on: pause it. Times are of the agent's steady clock (steady_clock.py): a wall clock that is stepped
+ends none early and keeps none longer.
 """
 
 from __future__ import annotations
--- a/covetally/policy/book.py
+++ b/covetally/policy/book.py
@@ -70,6 +70,7 @@
         self.keys_total = 0
         self.asked_at = 0
         self.watching = False
+        self.listed = False  # the whole list was told to this process: what comes now is new
         self.retune(settings)
 
     def retune(self, settings: Settings) -> None:
--- a/covetally/policy/roster.py
+++ b/covetally/policy/roster.py
@@ -4,7 +4,7 @@
 
 from zlib import crc32
 
-from covetally.interface import Defer, Directory, Entry
+from covetally.interface import SECOND, Defer, Directory, Entry
 from covetally.policy.book import Book
 from covetally.policy.figures import PLENTY
 from covetally.policy.server import Server
@@ -14,6 +14,7 @@
 # ns, mean pause before discovery is asked: twice the longest (1.8 of it) and a call without an answer fit into
 # the 6 s after which news counts as told. Drawn, so that a crowd does not ask as one.
 ASK_GAP = 600_000_000
+LONGEST_NEWS = 60 * SECOND  # ns: a start is told within seconds; an outage of discovery may take longer
 
 
 def news(b: Book, now: int, event: Directory) -> None:
@@ -35,18 +36,35 @@
                 b.forget(server)
     for entry in event.entries:
         enter(b, now, entry)
+    b.listed = b.listed or event.scope == "FULL"
     relist(b, now)
     pump(b, now)
 
 
+def start_of(now: int, told: int, just_told: bool) -> int:
+    """When a server started, on this sidecar's clock, by what the list tells of it (0: long ago).
+
+    The wall clocks of the machines may be off by an hour, each way, and this one's was read at the process's
+    start. A start that has not come yet, or one that the list has only now and that would be long over, shows
+    that the clocks disagree: then the server counts as started now, which can only be too late. It costs a server
+    that was told of late a slow start that it did not need.
+    """
+    if told > now or (just_told and 0 < told < now - LONGEST_NEWS):
+        return now
+    return told
+
+
 def enter(b: Book, now: int, entry: Entry) -> None:
+    """One line of a list."""
     server = b.servers.get(entry.server)
     if server is None:
         server = b.servers[entry.server] = Server(entry, b.figure)
     server.zone, server.kind, server.cell = entry.zone, entry.kind, entry.cell
-    if server.started >= 0 and entry.started_ns > server.started:
-        server.reset()  # a restart: verdicts on the old process say nothing of the new one
-    server.started = max(server.started, entry.started_ns)
+    if entry.started_ns != server.told_start:
+        if server.told_start >= 0:
+            server.reset()  # verdicts on the old process say nothing of the new one
+        server.told_start = entry.started_ns
+        server.started = max(server.started, start_of(now, entry.started_ns, b.listed))
     server.up = entry.lifecycle == "up"
     server.gone = entry.lifecycle == "removed"
     b.refresh(server)
--- a/covetally/policy/server.py
+++ b/covetally/policy/server.py
@@ -13,7 +13,7 @@
     __slots__ = (
         "name", "zone", "kind", "cell", "up", "started", "inflight", "k", "figure", "trial", "backoff",
         "retry_at", "stretch", "wait", "seen", "bad", "peak", "used", "slot", "refused", "gone",
-        "ceiling", "late", "fails", "held", "warned", "turn", "phase", "tried", "joined",
+        "ceiling", "late", "fails", "held", "warned", "turn", "phase", "tried", "joined", "told_start",
     )
 
     def __init__(self, entry: Entry, figure: float) -> None:
@@ -30,7 +30,8 @@
         self.slot = -1  # place in the list of servers under budget, -1 when not in it
         self.up = False
         self.gone = False  # off the list: forgotten with its last outcome
-        self.started = -1
+        self.told_start = -1  # as the list last had it, on whatever clock; -1: not on the list yet
+        self.started = -1  # on this sidecar's clock: slow start counts from here
         self.reset()
 
     def reset(self) -> None:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -310,6 +310,45 @@
     assert found > 0
 
 
+HOUR = 3_600_000 * MS
+
+
+def late_paper() -> Paper:
+    """One without servers, late enough for starts an hour ago."""
+    paper = Paper(servers=0)
+    paper.now = 10 * HOUR
+    return paper
+
+
+@pytest.mark.parametrize("off", [-HOUR, -5_000 * MS, 0, 5_000 * MS, HOUR], ids=lambda off: f"{off // MS} ms")
+def test_a_server_that_just_started_is_in_slow_start_whatever_the_clocks_say(off):
+    """Its start is told by another machine's wall clock, and this one's may have been stepped before the start of
+    this process: by an hour ahead, a server that had just started passed for warm."""
+    paper = late_paper()
+    paper.feed(Directory("FULL", fleet(4)))
+    paper.advance(1_000 * MS)
+    paper.feed(Directory("INCREMENTAL", fleet(1, started_ns=paper.now - 500 * MS + off)))
+    age = paper.now - paper.server("s0").started
+    assert 0 <= age <= 6_000 * MS
+    assert paper.server("s1").started == 0, "the others are as they were"
+
+
+def test_a_start_that_a_clock_put_back_tells_of_is_a_restart():
+    """Only a later start counted as one."""
+    paper = late_paper()
+    paper.feed(Directory("FULL", fleet(1, started_ns=paper.now - 60 * MS)))
+    paper.server("s0").bad = 0.9
+    paper.feed(Directory("INCREMENTAL", fleet(1, started_ns=paper.now - HOUR)))
+    assert paper.server("s0").bad == 0.0 and paper.server("s0").started == paper.now
+
+
+def test_what_a_first_list_tells_of_starts_long_ago_is_believed():
+    paper = late_paper()
+    for scope in ("SAVED", "FULL"):
+        paper.feed(Directory(scope, fleet(1, started_ns=paper.now - HOUR)))
+        assert paper.server("s0").started == paper.now - HOUR
+
+
 def test_drain_stops_sends_at_once():
     paper = Paper(servers=2)
     paper.feed(Directory("INCREMENTAL", fleet(1, lifecycle="draining")))
