--- a/covetally/fleet/store.py
+++ b/covetally/fleet/store.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from covetally.errors import DamagedError
+from covetally.errors import CindersailError, DamagedError
 from covetally.fleet import document
 from covetally.fleet.document import Document
 
@@ -42,6 +42,14 @@
     remedy = "Set the named file aside and start the agent anew: it learns the fleet from what sidecars report."
 
 
+class CannotKeepError(CindersailError):
+    """The disk does not take what was to be kept. Nothing of it was done, and nothing is acknowledged."""
+
+    code = "cannot-keep"
+    remedy = "Make room on the disk or mend it, then ask again: the agent goes on meanwhile with what it has."
+    status = 503
+
+
 @dataclass(frozen=True, slots=True)
 class Revision:
     """One numbered, immutable desired state of the whole fleet. `at` is Unix time in seconds."""
@@ -110,17 +118,26 @@
 
     @contextmanager
     def transaction(self) -> Iterator[None]:
-        """All or nothing, and on disk when it is left. May stand inside another: the outermost commits."""
+        """All or nothing, and on disk when it is left. May stand inside another: the outermost commits.
+        CannotKeepError where the disk does not take it."""
         if self._db.in_transaction:
             yield
             return
-        self._db.execute("BEGIN IMMEDIATE")
         try:
+            self._db.execute("BEGIN IMMEDIATE")
             yield
-        except BaseException:
-            self._db.execute("ROLLBACK")
+            self._db.execute("COMMIT")
+        except BaseException as error:
+            self._roll_back()
+            if isinstance(error, sqlite3.OperationalError):
+                raise CannotKeepError(f"{self.path}: {error}") from None
             raise
-        self._db.execute("COMMIT")
+
+    def _roll_back(self) -> None:
+        """End the transaction at hand. Some failures of the disk have ended it already; where it stays open, all
+        that follows would pass for a part of it and never be committed."""
+        if self._db.in_transaction:
+            self._db.execute("ROLLBACK")
 
     # --- meta -----------------------------------------------------------------------------------
 
