--- a/tests/crossings/test_retrying.py
+++ b/tests/crossings/test_retrying.py
@@ -5,6 +5,8 @@
 import asyncio
 import time
 
+import pytest
+
 from covetally.interface import How, Submit
 from covetally.net import sidecar, upstream
 from tests.crossings.test_leaving import slow_to_come_up
@@ -98,3 +100,28 @@
             assert not any(got)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("expires_s", [0.02, 0.06, 0.9])
+def test_each_attempt_passes_on_no_more_time_than_is_left(expires_s):
+    """Two attempts with a pause before the first one's end; the loop is late before the second one is written."""
+    seen: list[tuple[float, float]] = []  # when it arrived, and the time that it was told
+
+    async def late_then_cut(server, got, reader, writer):
+        told = next(line for line in got.split(b"\r\n") if line.startswith(b"x-expires-in"))
+        seen.append((time.monotonic(), float(told.partition(b":")[2])))
+        await asyncio.sleep(expires_s / 4)
+        time.sleep(expires_s / 8)  # the same loop has the sidecar
+        writer.transport.abort()
+
+    async def main():
+        limit = int(expires_s * 1000) * MS
+        classes = [{"name": "look", "onTimeNs": limit, "hardLimitNs": limit, "repeat": "free"}]
+        async with place(late_then_cut, late_then_cut, classes=classes) as here:
+            begun = time.monotonic()
+            await here.status(request("r1", expires=f"{expires_s:.3f}"))
+            assert seen
+            for arrived, told_s in seen:
+                assert 0 < told_s <= begun + expires_s - arrived + 0.05
+
+    asyncio.run(main())
