--- a/covetally/interface/__init__.py
+++ b/covetally/interface/__init__.py
@@ -245,7 +245,7 @@
 
 
 class Directory(NamedTuple):
-    """News of the server list. `scope` is INCREMENTAL, FULL, SAVED or FAILED."""
+    """An update of the list of servers. `scope` is INCREMENTAL, FULL, SAVED or FAILED."""
 
     scope: str
     entries: tuple[Entry, ...] = ()
--- a/covetally/membership/platform.py
+++ b/covetally/membership/platform.py
@@ -7,7 +7,7 @@
 
 from covetally.interface import Settings
 from covetally.membership.model import LEAVING, UP, Member, Read
-from covetally.net.discovery import Discovery, News
+from covetally.net.discovery import Discovery, ListUpdate
 
 WORDS = {"up": (UP, "active"), "draining": (LEAVING, "leaving")}
 
@@ -32,7 +32,7 @@
         """Watch no more."""
         self._discovery.stop()
 
-    def learn(self, news: News) -> None:
+    def learn(self, news: ListUpdate) -> None:
         """One answer of discovery."""
         members = {} if news.whole else dict(self._members)
         zones, kinds = self._settings.zones, self._settings.kinds
--- a/covetally/membership/roster.py
+++ b/covetally/membership/roster.py
@@ -24,7 +24,7 @@
 from covetally.membership.platform import Platform
 from covetally.membership.settings import Plan
 from covetally.net.clock import Clock
-from covetally.net.discovery import Discovery, News
+from covetally.net.discovery import Discovery, ListUpdate
 from covetally.operator import files
 
 log = logging.getLogger(__name__)
@@ -90,7 +90,7 @@
         members = [Member(name, address, UP if name in up else LEAVING) for name, address in listed]
         self._believer.kept(self._parts.clock.now(), members, "the platform's list")
 
-    def recall(self, known: News) -> None:
+    def recall(self, known: ListUpdate) -> None:
         """At the start of the process: the kept file, or else, where the platform is the source, what it knew."""
         if self._plan.keep is not None:
             try:
--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -99,7 +99,7 @@
     # --- before it may have run -----------------------------------------------------------------
 
     def _begin(self) -> None:
-        rested = self._owner.take_rested(self._server)
+        rested = self._owner.take_idle(self._server)
         if rested is None:
             self._connect()
             return
@@ -111,7 +111,7 @@
             self._phase = SETTLING
             self._wait(settling_s, partial(self._write, self._owner.hold_back_s(rest_s)))
         else:
-            # `take_rested` has looked at it in this very moment: nothing has run since.
+            # `take_idle` has looked at it in this very moment: nothing has run since.
             self._write(self._owner.hold_back_s(rest_s), looked=True)
 
     def _wait(self, seconds: float, then: Callable[[], None]) -> None:
@@ -355,7 +355,7 @@
         assert stream is not None
         if self._sent and not server.leaving and self._epoch == server.epoch and stream.recycle():
             self._stream = None
-            self._owner.keep(server, stream)
+            self._owner.add_idle(server, stream)
 
     # --- the end --------------------------------------------------------------------------------
 
--- a/covetally/net/client.py
+++ b/covetally/net/client.py
@@ -183,7 +183,7 @@
             if stream.ended or self._dropped >= LINGER_BYTES:
                 self.close(CloseReason.LAST_ANSWER)
         elif stream.closing or stream.lost:
-            # As in `Frontend._let_in`: nobody is there to see an answer to what has come.
+            # As in `Frontend._accept_one`: nobody is there to see an answer to what has come.
             self.close(CloseReason.CLIENT_LEFT)
         elif phase is WAITING and stream.paused and self._upgrade is None:  # else they are the other protocol's
             # Guards against clients that send much behind a request and go: with its reading stopped nobody would
--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -35,7 +35,7 @@
     remedy = "Look at discovery; what came whole counts, and the rest is asked again."
 
 
-class News(NamedTuple):
+class ListUpdate(NamedTuple):
     """One answer of discovery."""
 
     generation: int
@@ -43,13 +43,13 @@
     entries: list[tuple[Entry, Address]]
 
 
-def read_list(settings: Settings, raw: Any) -> News:
+def read_list(settings: Settings, raw: Any) -> ListUpdate:
     """A list in discovery's form; ListError if any of it is malformed."""
     try:
         generation, whole, items = raw["generation"], raw["reset"], raw["instances"]
         if not isinstance(generation, int) or not isinstance(whole, bool) or not isinstance(items, list):
             raise ListError("generation, reset or instances of the wrong type")
-        return News(generation, whole, [_entry(settings, item) for item in items])
+        return ListUpdate(generation, whole, [_entry(settings, item) for item in items])
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ListError(f"{type(error).__name__}: {error}") from None
 
@@ -102,7 +102,7 @@
         self._partial = bytearray()
         self._failing = False  # the last call
         self._task: asyncio.Task[None] | None = None
-        self.on_list: Callable[[News], None]
+        self.on_list: Callable[[ListUpdate], None]
         self.on_failure: Callable[[], None]
 
     def start(self) -> None:
@@ -180,9 +180,9 @@
         self._close()
         entries = salvage(self._settings, self._partial.decode("utf-8", "replace"))
         if entries:
-            self.on_list(News(0, False, entries))
+            self.on_list(ListUpdate(0, False, entries))
 
-    def _learn(self, news: News) -> None:
+    def _learn(self, news: ListUpdate) -> None:
         if self._index is not None and news.generation < self._index and not news.whole:
             # A discovery that started anew counts from below: changes since our version mean nothing to it.
             log.warning("discovery went back from version %d to %d", self._index, news.generation)
@@ -192,7 +192,7 @@
         if news.whole or news.entries:
             self.on_list(news)
 
-    async def _call(self) -> News:
+    async def _call(self) -> ListUpdate:
         """One call on the kept connection, or on a new one."""
         pushed = not self._settings.must_ask
         way = asking.call(pushed, self._index is not None, self._failing, self._grace_s)
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -53,16 +53,16 @@
     return listener
 
 
-class Found(enum.Enum):
+class AcceptResult(enum.Enum):
     """What a look at the listener came to."""
 
-    LET_IN = enum.auto()  # one connection was taken from it, and there may be more
-    NOBODY = enum.auto()
+    ACCEPTED = enum.auto()  # one connection was taken from it, and there may be more
+    NONE_WAITING = enum.auto()
     NO_ROOM = enum.auto()  # there may be some, and none can be had now
     FAILED = enum.auto()  # the next may be had: one connection is gone, or the system call failed for a moment
 
 
-LET_IN, NOBODY, NO_ROOM, FAILED = Found
+ACCEPTED, NONE_WAITING, NO_ROOM, FAILED = AcceptResult
 
 
 class Stage(enum.Enum):
@@ -140,10 +140,10 @@
         for turn in range(self._burst):
             if turn and len(self._clients) >= self._limit:
                 return  # nobody is put out before it is known that somebody waits
-            if self._let_in() in (NOBODY, NO_ROOM):
+            if self._accept_one() in (NONE_WAITING, NO_ROOM):
                 return
 
-    def _let_in(self) -> Found:
+    def _accept_one(self) -> AcceptResult:
         """Let one connection in, if there is one and room for it."""
         if len(self._clients) >= self._limit and not self._evict():
             self._pause()  # every connection has a request under way; the first to end makes room
@@ -151,7 +151,7 @@
         try:
             sock, _ = self._listener.accept()
         except BlockingIOError:
-            return NOBODY
+            return NONE_WAITING
         except OSError as error:
             if error.errno in NEXT_ACCEPT:
                 return FAILED
@@ -167,10 +167,10 @@
             # any crowd that connects and leaves. It does harm to a client that closes its side for writing
             # and still waits for an answer, which the protocol takes for gone as well.
             sock.close()
-            return LET_IN
+            return ACCEPTED
         sock.setblocking(False)
         self._begin(sock, REGISTER_TRIES)
-        return LET_IN
+        return ACCEPTED
 
     def _begin(self, sock: socket.socket, tries: int) -> None:
         """See an accepted connection through. Where the system cannot watch it now, it is tried again shortly:
@@ -191,19 +191,19 @@
         between requests, then who takes long to send one. A connection with a request taken never goes, nor
         one whose bytes wait unread."""
         for client in self._lingering:
-            return self._put_out(client)
+            return self._evict_client(client)
         late = asyncio.get_running_loop().time() - HALF_SENT_OLD_S
         for group in (self._fresh, self._idle):
             for client in group:
                 if client.silent():
-                    return self._put_out(client)
+                    return self._evict_client(client)
         for group in (self._fresh, self._idle):
             for client in group:
                 if client.in_message and client.since < late:
-                    return self._put_out(client)
+                    return self._evict_client(client)
         return False
 
-    def _put_out(self, client: Client, reason: CloseReason = CloseReason.MADE_ROOM) -> bool:
+    def _evict_client(self, client: Client, reason: CloseReason = CloseReason.MADE_ROOM) -> bool:
         client.close(reason)
         return True
 
@@ -283,7 +283,7 @@
         if len(self._idle) > self._rest_limit or len(self._clients) > self._limit:
             longest = next((c for c in islice(self._idle, LOOKS) if c.silent()), None)
             if longest is not None:
-                self._put_out(longest, CloseReason.IDLE_LIMIT)
+                self._evict_client(longest, CloseReason.IDLE_LIMIT)
         self._resume()
 
     def busy(self, client: Client) -> None:
@@ -358,9 +358,9 @@
     async def _accept_backlog(self, until: float) -> None:
         """Let in what waits in the backlog, as others make room: this machine has taken it."""
         loop = asyncio.get_running_loop()
-        while (found := self._let_in()) is not NOBODY and loop.time() < until:
+        while (found := self._accept_one()) is not NONE_WAITING and loop.time() < until:
             # Always a turn of the loop: an accept that goes on failing must not keep it from what it owes.
-            await asyncio.sleep(0 if found is LET_IN else ACCEPT_PAUSE_S)
+            await asyncio.sleep(0 if found is ACCEPTED else ACCEPT_PAUSE_S)
 
     async def _all_closed(self, until: float) -> None:
         """Wait until no client is connected, but not past that time on the loop's clock."""
--- a/covetally/net/server.py
+++ b/covetally/net/server.py
@@ -23,13 +23,13 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """A server's address, its resting connections (newest last) and what is being written to it."""
+    """A server's address, its idle connections (newest last) and what is being written to it."""
 
     address: Address
     started_ns: int = 0
     epoch: int = 0  # counts the processes seen behind this name
     leaving: bool = False  # it drains or has gone: nothing new is written to it
-    resting: dict[Stream, float] = field(default_factory=dict)  # and since when, on the loop's clock
+    idle: dict[Stream, float] = field(default_factory=dict)  # and since when, on the loop's clock
     sweep: Timer | None = None  # closes what has rested its time
     unsent: set[Unsent] = field(default_factory=set)
     local_failures: int = 0  # dials in a row that failed for a lack of this machine's, and
@@ -44,10 +44,10 @@
     wheel: Wheel
     connect_timeout_s: float
 
-    def take_rested(self, server: Server) -> tuple[Stream, float, float] | None:
+    def take_idle(self, server: Server) -> tuple[Stream, float, float] | None:
         """An idle connection, for how long it rested, and for how long it has to settle yet."""
 
-    def keep(self, server: Server, stream: Stream) -> None:
+    def add_idle(self, server: Server, stream: Stream) -> None:
         """Take the connection of a finished exchange to rest."""
 
     def reserve(self) -> bool:
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -218,7 +218,7 @@
         self._forget(tid, call)
 
     def directory(self, event: Directory) -> None:
-        """News of the server list."""
+        """An update of the list of servers."""
         self._handle(event)
 
     def suspect(self, server: str) -> None:
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -59,8 +59,8 @@
 
     # --- the list -------------------------------------------------------------------------------
 
-    def told(self, entries: list[tuple[Entry, Address]], whole: bool) -> None:
-        """News of the list, with each server's address."""
+    def update(self, entries: list[tuple[Entry, Address]], whole: bool) -> None:
+        """An update of service discovery, with each server's address."""
         gone = self._servers.keys() - {entry.server for entry, _ in entries} if whole else set()
         for entry, address in entries:
             server = self._servers.setdefault(entry.server, Server(address, entry.started_ns))
@@ -68,7 +68,7 @@
                 # Another process listens there now: its predecessor's connections lead nowhere.
                 server.address, server.started_ns = address, entry.started_ns
                 server.epoch += 1
-                self._close_resting(server)
+                self._close_idle(server)
             if entry.lifecycle == "removed":
                 gone.add(entry.server)
             elif entry.lifecycle == "up":
@@ -81,7 +81,7 @@
     def _leave(self, server: Server) -> None:
         """What is not written yet goes elsewhere. That it may have counted as told for a while already, and how
         long a connection would still take to come up, are no questions then."""
-        self._close_resting(server)
+        self._close_idle(server)
         if not server.leaving:
             server.leaving = True
             for attempt in server.unsent:
@@ -89,21 +89,21 @@
 
     # --- connections ----------------------------------------------------------------------------
 
-    def _close_resting(self, server: Server) -> None:
-        while server.resting:
-            self._drop(server, next(iter(server.resting)))
+    def _close_idle(self, server: Server) -> None:
+        while server.idle:
+            self._drop(server, next(iter(server.idle)))
 
     def _drop(self, server: Server, stream: Stream) -> None:
-        """Close a resting connection."""
-        del server.resting[stream]
+        """Close an idle connection."""
+        del server.idle[stream]
         stream.on_news = unwanted
         stream.abort()
         self._open -= 1
 
-    def keep(self, server: Server, stream: Stream) -> None:
+    def add_idle(self, server: Server, stream: Stream) -> None:
         """Take the connection of a finished exchange to rest, for less time than the server would."""
         now = self.loop.time()
-        server.resting[stream] = now
+        server.idle[stream] = now
         stream.on_room = unwanted
         # Bytes that come now were asked for by nobody: they must never become the next request's answer.
         stream.on_news = partial(self._drop, server, stream)
@@ -115,40 +115,40 @@
         each would be set and cancelled with every request."""
         server.sweep = None
         now = self.loop.time()
-        while server.resting:
-            stream, since = next(iter(server.resting.items()))
+        while server.idle:
+            stream, since = next(iter(server.idle.items()))
             if since + self._idle_s > now:
                 server.sweep = self.wheel.call_at(since + self._idle_s, partial(self._swept, server))
                 return
             self._drop(server, stream)
 
-    def take_rested(self, server: Server) -> tuple[Stream, float, float] | None:
+    def take_idle(self, server: Server) -> tuple[Stream, float, float] | None:
         """The connection in order that rested least of those that have settled, and for how long it did; where
         none has settled, the one that is nearest to it, and for how long it has to settle yet."""
-        resting, now = server.resting, self.loop.time()
-        while resting:
+        idle, now = server.idle, self.loop.time()
+        while idle:
             settled_at = now - SETTLE_S
-            stream = next(iter(resting))
-            for other, since in reversed(resting.items()):
+            stream = next(iter(idle))
+            for other, since in reversed(idle.items()):
                 if since <= settled_at:
                     stream = other
                     break
-            since = resting[stream]
+            since = idle[stream]
             if stream.disturbed():
                 self._drop(server, stream)
             else:
-                del resting[stream]
+                del idle[stream]
                 return stream, now - since, max(0.0, SETTLE_S - (now - since))
         return None
 
     def reserve(self) -> bool:
         """A place for a new connection; False if all are at work. The one that has rested longest makes room."""
         if self._open >= self._limit:
-            rested = [server for server in self._servers.values() if server.resting]
-            if not rested:
+            holding = [server for server in self._servers.values() if server.idle]
+            if not holding:
                 return False
-            oldest = min(rested, key=lambda server: next(iter(server.resting.values())))
-            self._drop(oldest, next(iter(oldest.resting)))
+            oldest = min(holding, key=lambda server: next(iter(server.idle.values())))
+            self._drop(oldest, next(iter(oldest.idle)))
         self._open += 1
         return True
 
--- a/covetally/policy/balancer.py
+++ b/covetally/policy/balancer.py
@@ -17,7 +17,7 @@
 from covetally.policy.ending import end_by
 from covetally.policy.events import accept, alarm, drop, outcome
 from covetally.policy.limits import allot, demand
-from covetally.policy.roster import news
+from covetally.policy.roster import apply_update
 from covetally.policy.rules import remember
 from covetally.policy.shed import glance
 from covetally.policy.times import hear
@@ -42,7 +42,7 @@
         elif kind is Alarm:
             alarm(b, now)
         elif kind is Directory:
-            news(b, now, event)
+            apply_update(b, now, event)
         elif kind is Heard:
             hear(b, now, event)
         elif kind is Hangup:
--- a/covetally/policy/roster.py
+++ b/covetally/policy/roster.py
@@ -17,7 +17,7 @@
 LONGEST_NEWS = 60 * SECOND  # ns: a start is told within seconds; an outage of discovery may take longer
 
 
-def news(b: Book, now: int, event: Directory) -> None:
+def apply_update(b: Book, now: int, event: Directory) -> None:
     if event.scope == "FAILED":
         b.watching = False
         ask_later(b, now)
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -21,7 +21,7 @@
 from covetally.net import early
 from covetally.net.clock import Clock
 from covetally.net.config import ConfigError
-from covetally.net.discovery import Discovery, ListError, News, read_list
+from covetally.net.discovery import Discovery, ListError, ListUpdate, read_list
 from covetally.net.frontend import Frontend, bound
 from covetally.net.peers import Peers
 from covetally.net.seams import Claims
@@ -155,7 +155,7 @@
         config = self.config
         logging.getLogger().setLevel(config.log_level.upper())
         self.sidecar.tracing = log.isEnabledFor(logging.DEBUG)
-        known = News(0, True, [])
+        known = ListUpdate(0, True, [])
         if config.known is not None:
             try:
                 known = read_list(config.settings, config.known)
@@ -170,7 +170,7 @@
         self._respeak()
         plan = self.configuration.plan
         if plan is None:
-            self._tell(known, "SAVED")
+            self._apply_update(known, "SAVED")
         else:
             self.roster = self._made(plan)
             self.roster.recall(known)
@@ -207,9 +207,9 @@
                 log.log(level, "cannot listen yet: %s", error)
             await asyncio.sleep(LISTEN_PAUSE_S)
 
-    def _tell(self, news: News, scope: str) -> None:
+    def _apply_update(self, news: ListUpdate, scope: str) -> None:
         # Upstream first: the module may submit to a server in the same breath as it hears of it.
-        self.upstream.told(news.entries, news.whole)
+        self.upstream.update(news.entries, news.whole)
         self.sidecar.directory(Directory(scope, tuple(entry for entry, _ in news.entries)))
         if self.tier is not None:
             self.tier.listed(self.sidecar.zones())
@@ -272,7 +272,8 @@
         from covetally.membership.roster import Parts, Roster
 
         parts = Parts(
-            self.clock, self.discovery, lambda entries: self._tell(News(0, False, entries), "INCREMENTAL"),
+            self.clock, self.discovery,
+            lambda entries: self._apply_update(ListUpdate(0, False, entries), "INCREMENTAL"),
             self.sidecar.beliefs, self.sidecar.suspect,
         )  # fmt: skip
         roster = Roster(plan, self.config.settings, parts)
@@ -306,8 +307,8 @@
         ]
         return {"level": "direct", "why": "the platform's list, believed at once", "nodes": nodes}
 
-    def _listed(self, news: News) -> None:
-        self._tell(news, "FULL" if news.whole else "INCREMENTAL")
+    def _listed(self, news: ListUpdate) -> None:
+        self._apply_update(news, "FULL" if news.whole else "INCREMENTAL")
 
     def _subscribe(self) -> None:
         if self.roster is None or self.roster.asks_platform:
--- a/covetally/rig/soak.py
+++ b/covetally/rig/soak.py
@@ -77,7 +77,6 @@
         self._pushed = self._rng.random() < 0.7
         self._busy: set[str] = set()  # instances and nodes to which something is being done
         self._tasks: set[asyncio.Task[None]] = set()
-        self._ending: dict[str, float] = {}  # instances that were told to end, and when they have to be gone
         self.report = SoakReport(seed, self._scale)
 
     async def play(self) -> SoakReport:
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -49,7 +49,7 @@
 async def warm(here: Place) -> None:
     """Have a connection at rest to each server, so that a request goes out in the moment it is submitted."""
     number = 0
-    while not all(server.resting for server in here.upstream._servers.values()):
+    while not all(server.idle for server in here.upstream._servers.values()):
         names = [f"warm{number}-{i}" for i in range(4)]
         await asyncio.gather(*(here.status(request(name)) for name in names))
         number += 1
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -11,7 +11,7 @@
 
 from covetally.interface import Directory
 from covetally.net import asking
-from covetally.net.discovery import Discovery, News
+from covetally.net.discovery import Discovery, ListUpdate
 from covetally.policy.roster import ASK_GAP
 from tests.loopback import Server, answer, place, until
 from tests.support import MS, Paper, settings
@@ -74,7 +74,7 @@
         async with place(more={"discovery": "subscribe", "invariants": {"mustAskInNs": 10_000 * MS}}) as here:
             server = Server(discover)
             await server.start()
-            told: list[tuple[float, News]] = []
+            told: list[tuple[float, ListUpdate]] = []
             discovery = Discovery(here.sidecar._balancer.book.settings, server.address)
             discovery.on_list = lambda news: (
                 told.append((time.monotonic(), news)),
--- a/tests/incidents/test_guards.py
+++ b/tests/incidents/test_guards.py
@@ -94,3 +94,20 @@
         times = shutdown_times(longest_ms / 1000)
         assert 0 <= times.accepting_s <= times.answered_s < times.closed_s
         assert times.closed_s + 0.15 < min(longest_ms / 1000, 3.0) + 0.7, "with a process that is held up"
+
+
+def test_an_end_cannot_be_taken_back_by_an_operator_s_word():
+    """A worker that was told to serve again while it ended let clients keep their connections."""
+
+    async def main():
+        async with place(fine) as here:
+            held = await here.connect()
+            draining = asyncio.create_task(here.frontend.drain(2.0))
+            await asyncio.sleep(0)
+            here.frontend.rest(False)
+            held[1].write(request("late"))
+            assert b"connection: close" in (await held[0].readuntil(b"\r\n\r\n")).lower()
+            held[1].close()
+            await draining
+
+    asyncio.run(main())
--- a/tests/incidents/test_system_calls.py
+++ b/tests/incidents/test_system_calls.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from covetally.rig import nth_call
 from covetally.rig.account import SECOND
 from covetally.rig.load import Load, Plan
+from covetally.rig.nth_call import Case
 from covetally.rig.site import LOAD_CLASSES, TENANTS
 from covetally.rig.soak import Soak, SoakShape
 from covetally.rig.system_faults import SHORT, Fault, FaultSchedule
@@ -75,6 +77,20 @@
     asyncio.run(main())
 
 
+NTH = [
+    Case("epoll_ctl", "ENOMEM", 2), Case("accept", "ECONNABORTED", 3), Case("socket", "ENFILE", 4),
+    Case("connect", "EADDRNOTAVAIL", 2), Case("send", "EPIPE", 5), Case("recv", "ETIMEDOUT", 6),
+    Case("getsockopt", "ENOBUFS", 9), Case("epoll_wait", "EINTR", 20),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("case", NTH, ids=lambda case: f"{case.call}-{case.how}-{case.nth}")
+def test_one_call_that_fails_breaks_nothing(case):
+    """A sample; `benchmarks.nth_call` plays each call, errno and number."""
+    outcome = asyncio.run(nth_call.play(case))
+    assert outcome.met and outcome.broken == ()
+
+
 @pytest.mark.parametrize("seed", [13, 17])
 def test_rules_and_invariants_hold_under_overlapping_faults(seed):
     """A short soak; `benchmarks.soak` plays longer and more."""
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -16,7 +16,7 @@
 from covetally.membership.hung import FAILED_CHECKS, SILENT, SPAN_NS, Hung, schedule
 from covetally.membership.model import LEAVING, Member
 from covetally.membership.platform import Platform
-from covetally.net.discovery import News
+from covetally.net.discovery import ListUpdate
 from covetally.operator import files
 from covetally.operator.url import split_url
 from tests.membership.standin import run
@@ -145,14 +145,14 @@
     reads = []
     platform = Platform(settings(), None, reads.append)
     one, two = (Entry("s1", zone=1, started_ns=7 * MS), ("10.0.0.1", 80)), (Entry("s2"), ("10.0.0.2", 80))
-    platform.learn(News(1, False, [one]))
+    platform.learn(ListUpdate(1, False, [one]))
     assert not reads[-1].clean, "the whole list is still to come"
-    platform.learn(News(2, True, [one, two]))
+    platform.learn(ListUpdate(2, True, [one, two]))
     found = reads[-1].members["s1"]
     assert reads[-1].clean and found.zone == "b" and found.started_ns == 7 * MS
-    platform.learn(News(3, False, [(two[0]._replace(lifecycle="draining"), two[1])]))
+    platform.learn(ListUpdate(3, False, [(two[0]._replace(lifecycle="draining"), two[1])]))
     assert reads[-1].members["s2"].state == LEAVING
-    platform.learn(News(4, False, [(one[0]._replace(lifecycle="removed"), one[1])]))
+    platform.learn(ListUpdate(4, False, [(one[0]._replace(lifecycle="removed"), one[1])]))
     assert sorted(reads[-1].members) == ["s2"]
 
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -222,7 +222,7 @@
             writer.write(request("a"))
             await read_message(reader)
             (client,) = here.frontend._clients
-            (rested,) = here.upstream._servers["s0"].resting
+            (rested,) = here.upstream._servers["s0"].idle
             for stream in (client.stream, rested):
                 assert stream.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
             writer.close()
@@ -404,7 +404,7 @@
             assert {s.name for s in book.up if not s.k} == {"s0", "s1"}, "a failure is a verdict on these"
             for server in well:
                 server.stop()
-                here.upstream._close_resting(here.upstream._servers["s2" if server is well[0] else "s3"])
+                here.upstream._close_idle(here.upstream._servers["s2" if server is well[0] else "s3"])
             assert await here.status(request(new())) == 503
             for server in well:
                 server._server = await asyncio.start_server(server._serve, *server.address)
