--- a/covetally/rig/discovery.py
+++ b/covetally/rig/discovery.py
@@ -5,7 +5,8 @@
 Each instance has a port of its own, so that the account knows what was told to whom, and when: the row
 ["told", instance, at, [[node, lifecycle, startedAtMs], ...]] is written with the answer.
 Commands: {"set": entry}, {"remove": id}, {"silent": true}, {"move": instance}, {"garble": true}, {"drop": true},
-{"style": one of STYLES}, {"hosts": {instance: {node: address}}}: where an instance is told that nodes listen.
+{"style": one of STYLES}, {"late": seconds}: each answer is written so much later;
+{"hosts": {instance: {node: address}}}: where an instance is told that nodes listen.
 """
 
 from __future__ import annotations
@@ -44,6 +45,7 @@
         self.hosts: dict[str, dict[str, str]] = {}  # by instance and node, in place of the entry's hostPort
         self.garble = False  # answers with what is no list
         self.style = ""
+        self.late_s = 0.0  # each answer is written so much later
 
     async def listen(self, instance: str) -> int:
         """Open an instance's port, in place of an earlier one, whose connections end; returns it."""
@@ -141,7 +143,14 @@
         body = {"generation": self._generation, "reset": whole, "instances": there}
         rows = [[e["instanceId"], e["lifecycle"], e.get("startedAtMs", 0)] for e in told]
         rows += [[e["instanceId"], "left", 0] for e in left_out]
-        if self._write(wire, body):
+        if self.late_s:
+            asyncio.get_running_loop().call_later(self.late_s, self._deliver, wire, instance, body, rows)
+        else:
+            self._deliver(wire, instance, body, rows)
+
+    def _deliver(self, wire: Wire, instance: str, body: dict[str, Any], rows: list[list[Any]]) -> None:
+        """Write an answer, unless whoever asked has gone."""
+        if not wire.ended and self._write(wire, body):
             self._tell(["told", instance, time.monotonic_ns(), rows])
 
     def _write(self, wire: Wire, body: dict[str, Any]) -> bool:
@@ -184,6 +193,8 @@
             discovery.garble = words["garble"]
         if "style" in words:
             discovery.style = words["style"]
+        if "late" in words:
+            discovery.late_s = words["late"]
         if words.get("drop"):
             discovery.drop()
         if words.get("silent"):
--- a/covetally/rig/fault_launcher.py
+++ b/covetally/rig/fault_launcher.py
@@ -18,13 +18,14 @@
 import runpy
 import select
 import selectors
+import signal
 import socket
 import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
-from covetally.rig.system_faults import PAUSE, SHORT, FaultSchedule, Injector
+from covetally.rig.system_faults import PAUSE, SHORT, WAKEUP, FaultSchedule, Injector
 
 VARIABLE = "RIG_FAULTS"
 _monotonic_ns, _sleep = time.monotonic_ns, time.sleep
@@ -149,6 +150,24 @@
     time.time_ns = lambda: real_ns() + border.off_ns()  # type: ignore[assignment]
 
 
+def _patch_wakeup() -> None:
+    """Let each write by which CPython's signal handler wakes the loop fail: it goes to a pipe that is full."""
+    real = signal.set_wakeup_fd
+    _, full = os.pipe()
+    os.set_blocking(full, False)
+    try:
+        while os.write(full, bytes(4096)):
+            pass
+    except BlockingIOError:
+        pass
+
+    def set_wakeup_fd(fd: int, *, warn_on_full_buffer: bool = True) -> int:
+        del warn_on_full_buffer
+        return real(fd if fd < 0 else full, warn_on_full_buffer=False)
+
+    signal.set_wakeup_fd = set_wakeup_fd  # type: ignore[assignment]
+
+
 def _faulty(border: _Border, call: str, real: Callable[..., Any]) -> Callable[..., Any]:
     def meet(*args: Any, **more: Any) -> Any:
         border.meet(call)
@@ -237,6 +256,8 @@
     _patch_sockets(border)
     _patch_epoll(border)
     _patch_clock(border)
+    if injector.has(WAKEUP):
+        _patch_wakeup()
     _patch_files(border)
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
--- a/covetally/rig/system_faults.py
+++ b/covetally/rig/system_faults.py
@@ -6,6 +6,7 @@
     Fault("recv", SHORT, share=0.5)                         one byte is read or written in place of more
     Fault("clock", STEP, step_s=-3600.0, begin_ns=a)        the wall clock reads an hour less from then on
     Fault("pause", STALL, step_s=0.15, share=0.01)          the process is held up before a call
+    Fault("wakeup", "EAGAIN")                               no write by which a signal wakes the loop succeeds
 
 `covetally/rig/fault_launcher.py` carries a schedule out in a process of the program.
 """
@@ -20,7 +21,7 @@
 from dataclasses import asdict, dataclass, field
 
 SHORT, STEP, STALL = "SHORT", "STEP", "STALL"
-CLOCK, PAUSE = "clock", "pause"
+CLOCK, PAUSE, WAKEUP = "clock", "pause", "wakeup"
 SOCKET_CALLS = (
     "socket", "accept", "connect", "recv", "send", "client_recv", "client_send", "setsockopt", "getsockopt",
     "epoll_wait", "epoll_ctl",
@@ -65,7 +66,7 @@
     step_s: float = 0.0
 
     def __post_init__(self) -> None:
-        if self.call not in (*CALLS, CLOCK, PAUSE):
+        if self.call not in (*CALLS, CLOCK, PAUSE, WAKEUP):
             raise ValueError(f"no such call: {self.call}")
         if self.how not in (SHORT, STEP, STALL) and not hasattr(errno, self.how):
             raise ValueError(f"no such errno: {self.how}")
@@ -120,6 +121,10 @@
             return number == fault.nth
         return fault.active(now_ns) and (fault.share >= 1.0 or self._random.random() < fault.share)
 
+    def has(self, call: str) -> bool:
+        """Whether any fault of this call is scheduled."""
+        return any(fault.call == call for fault in self.schedule.faults)
+
     def clock_step_ns(self, now_ns: int) -> int:
         """By how much the wall clock is off now."""
         steps = [f.step_s for f in self.schedule.faults if f.call == CLOCK and f.active(now_ns)]
--- a/tests/incidents/test_shutdown.py
+++ b/tests/incidents/test_shutdown.py
@@ -83,11 +83,11 @@
     async def connect(self) -> Client:
         return Client(*await asyncio.open_connection(*self.instance.address))
 
-    async def terminate(self) -> None:
+    async def terminate(self, number: signal.Signals = signal.SIGTERM) -> None:
         """SIGTERM, and SIGKILL at the earliest moment; returns when the process is gone."""
         process = self.instance.process
         assert process is not None
-        process.send_signal(signal.SIGTERM)
+        process.send_signal(number)
         began = time.monotonic()
         try:
             async with asyncio.timeout(kill_after_s(self.longest_s)):
