Keep each signal as state: a failed wake-up write lost SIGTERM for good

Cause: asyncio's add_signal_handler relies on one byte that CPython's handler writes to a socket pair and whose failure is ignored; the Python handler that it sets does nothing. Where the write fails (ENOBUFS, EIO, ENOSPC, a full buffer) SIGTERM, SIGINT and SIGHUP are never heard: the process serves on as ever until SIGKILL. Sidecar, supervisor of workers and agent use both. The log says which signal came with what is open, and at each step of a drain what the open connections are at. tests/test_process.py lists the modules that every sidecar imports: the two new ones are such, so they are added to that exact list.

--- a/covetally/control/gauges.py
+++ b/covetally/control/gauges.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import os
 import time
@@ -12,12 +11,12 @@
 from covetally.net.message import Answer
 
 if TYPE_CHECKING:
+    from covetally.loop_monitor import LoopMonitor
     from covetally.net.config import Config
     from covetally.net.frontend import Frontend
     from covetally.net.sidecar import Sidecar
     from covetally.net.upstream import Upstream
 
-SAMPLE_S = 0.5
 LINES = 100
 REFUSALS = (429, 503)
 
@@ -51,6 +50,7 @@
     sidecar: Sidecar
     frontend: Frontend
     upstream: Upstream
+    monitor: LoopMonitor
     roster: Roster | None
     address: tuple[str, int]
 
@@ -60,17 +60,13 @@
 
 
 class Gauges:
-    """Counts final answers by class and samples the loop's lag, from `start` to `stop`."""
+    """Counts final answers by class, from `start` to `stop`."""
 
     def __init__(self, process: Measured) -> None:
         self._process = process
         self._classes = [c.name for c in process.config.settings.classes]
         # served, refused, failed, the client left
         self._counts = [[0, 0, 0, 0] for _ in self._classes]
-        self._lag_ms = 0.0
-        self._worst_ms = 0.0
-        self._timer: asyncio.TimerHandle | None = None
-        self._due = 0.0
         self.ring = Ring()
         self.started = time.time()
 
@@ -78,14 +74,11 @@
         """Begin to count."""
         self._process.sidecar.on_final = self._final
         logging.getLogger().addHandler(self.ring)
-        self._sample_later()
 
     def stop(self) -> None:
         """Count no more."""
         self._process.sidecar.on_final = None
         logging.getLogger().removeHandler(self.ring)
-        if self._timer is not None:
-            self._timer.cancel()
 
     def _final(self, cls: int, answer: Answer | None) -> None:
         if answer is None:
@@ -96,16 +89,6 @@
             kind = 1 if answer.status in REFUSALS else 2
         self._counts[cls][kind] += 1
 
-    def _sample_later(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._due = loop.time() + SAMPLE_S
-        self._timer = loop.call_at(self._due, self._sample)
-
-    def _sample(self) -> None:
-        self._lag_ms = max(0.0, (asyncio.get_running_loop().time() - self._due) * 1000)
-        self._worst_ms = max(self._worst_ms, self._lag_ms)
-        self._sample_later()
-
     # --- what is told ---------------------------------------------------------------------------
 
     def counts(self) -> dict[str, list[int]]:
@@ -114,13 +97,12 @@
 
     def beat(self) -> dict[str, Any]:
         """What goes with every heartbeat. The worst lag is of the time since the last one."""
-        worst, self._worst_ms = self._worst_ms, 0.0
         process = self._process
         return {
             "counts": self.counts(),
             "shed": process.frontend.shed,
             "open": process.sidecar.open,
-            "lag_ms": round(worst, 1),
+            "lag_ms": round(process.monitor.take_worst_s() * 1000, 1),
             "state": process.state,
         } | ({"roster": process.roster.brief()} if process.roster is not None else {})
 
@@ -156,6 +138,7 @@
                 }
                 for b in process.sidecar.beliefs()
             ],
+            "held_up": {"count": process.monitor.held_up, "longest_s": round(process.monitor.longest_s, 3)},
             "violations": process.sidecar.violations.table(),
             "closed": {reason.value: count for reason, count in process.frontend.closed.items()},
             "errors": list(self.ring.errors),
--- a/covetally/fleet/serve.py
+++ b/covetally/fleet/serve.py
@@ -22,6 +22,8 @@
 from covetally.fleet.store import Store, StoreError
 from covetally.fleet.supervisor import Supervisor, SuperviseError
 from covetally.fleet.tokens import TokenError, Tokens
+from covetally.loop_monitor import LoopMonitor
+from covetally.signals import SignalHandlers
 
 log = logging.getLogger(__name__)
 
@@ -95,8 +97,11 @@
     runner = web.AppRunner(api.application(agent, audit, tokens), access_log=None, shutdown_timeout=END_S)
     await runner.setup()
     stop = asyncio.Event()
+    monitor = LoopMonitor()
+    monitor.start()
+    signals = SignalHandlers()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        signals.on(number, stop.set)
     try:
         agent.open()
         await _listen(options, links, runner)
@@ -106,6 +111,7 @@
     except OSError as error:
         raise StartError(str(error)) from None
     finally:
+        monitor.stop()
         links.close()
         await keeper.stop(options.stop_instances)
         await runner.cleanup()
--- a/covetally/net/client.py
+++ b/covetally/net/client.py
@@ -103,6 +103,11 @@
         """Whether nothing of a request has come, as far as the kernel knows."""
         return self._phase is READING and not self.in_message and not self.stream.disturbed()
 
+    @property
+    def phase(self) -> Phase:
+        """What the connection is at."""
+        return self._phase
+
     @property
     def owed(self) -> bool:
         """Whether a request was taken here and has no answer yet."""
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -345,16 +345,24 @@
             await self._accept_backlog(answered_by)
         self._pause()
         self._listener.close()
+        self._log_held("the listener is closed")
         await self._all_closed(began + times.accepting_s + HALF_SENT_S)
         # Who has begun to send may end it: once its last byte is written, an answer is owed.
         self._close_silent(self._fresh, self._idle)
         await self._all_closed(answered_by)
         self._close_silent(self._fresh, self._idle)
+        self._log_held("whoever has not sent a whole request is turned away")
         for client in list(self._clients):
             client.turn_away()
         await self._all_closed(closed_by)
         self._cut_off()
 
+    def _log_held(self, stage: str) -> None:
+        """What is still connected, by what each connection is at."""
+        if self._clients:
+            held = Counter(client.phase.name.lower() for client in self._clients)
+            log.info("drain: %s: %s", stage, ", ".join(f"{count} {name}" for name, count in held.items()))
+
     async def _accept_backlog(self, until: float) -> None:
         """Let in what waits in the backlog, as others make room: this machine has taken it."""
         loop = asyncio.get_running_loop()
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -14,10 +14,12 @@
 import signal
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 from covetally.configuration import NO_ROSTER, Configuration
 from covetally.interface import Directory
+from covetally.loop_monitor import LoopMonitor
 from covetally.net import early
 from covetally.net.clock import Clock
 from covetally.net.config import ConfigError
@@ -28,6 +30,7 @@
 from covetally.net.sidecar import Sidecar
 from covetally.net.system_errors import LACKS
 from covetally.net.upstream import Upstream
+from covetally.signals import SignalHandlers
 
 if TYPE_CHECKING:
     from covetally.control.gauges import Gauges
@@ -81,6 +84,7 @@
         self.tier: Shell | None = None
         self.spoken: Spoken | None = None
         self.registrar: Registrar | None = None
+        self.monitor = LoopMonitor()
         self.clock = clock = Clock()
         settings = config.settings
         self.upstream = Upstream(settings, config.load_fields, clock, config.server_connections)
@@ -134,13 +138,14 @@
 
     async def run(self) -> None:
         """Serve until `stop` is set, then drain."""
-        loop = asyncio.get_running_loop()
+        self.monitor.start()
+        signals = SignalHandlers()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop.set)
+            signals.on(number, partial(self._told_to_end, number))
         asked = asyncio.Event()  # a reload asked for before there is anything to reload
-        loop.add_signal_handler(signal.SIGHUP, asked.set)
+        signals.on(signal.SIGHUP, asked.set)
         await self._start()
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signals.on(signal.SIGHUP, self.reload)
         if asked.is_set() or early.told():
             self.reload()
         if self.manager is not None:
@@ -151,6 +156,11 @@
         await self.stop.wait()
         await self._end()
 
+    def _told_to_end(self, number: signal.Signals) -> None:
+        open_ = (self.frontend.connections, self.sidecar.open)
+        log.info("%s: %s: %d connections, %d requests under way", self.config.name, number.name, *open_)
+        self.stop.set()
+
     async def _start(self) -> None:
         config = self.config
         logging.getLogger().setLevel(config.log_level.upper())
@@ -322,6 +332,7 @@
         if self.manager is not None:
             self.manager.goodbye()
         await self.frontend.drain(self.configuration.shutdown.closed_s, accept=not alone)
+        self.monitor.stop()
         self.discovery.stop()
         if self.tier is not None:
             self.tier.stop()
--- a/covetally/rig/fault_launcher.py
+++ b/covetally/rig/fault_launcher.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import atexit
 import builtins
 import errno
@@ -151,7 +152,8 @@
 
 
 def _patch_wakeup() -> None:
-    """Let each write by which CPython's signal handler wakes the loop fail: it goes to a pipe that is full."""
+    """Let each write fail by which a signal wakes the loop: CPython's goes to a pipe that is full, and asyncio's,
+    whose failure asyncio ignores, is not made."""
     real = signal.set_wakeup_fd
     _, full = os.pipe()
     os.set_blocking(full, False)
@@ -166,6 +168,7 @@
         return real(fd if fd < 0 else full, warn_on_full_buffer=False)
 
     signal.set_wakeup_fd = set_wakeup_fd  # type: ignore[assignment]
+    asyncio.SelectorEventLoop._write_to_self = lambda loop: None  # type: ignore[attr-defined]
 
 
 def _faulty(border: _Border, call: str, real: Callable[..., Any]) -> Callable[..., Any]:
--- a/covetally/workers/supervisor.py
+++ b/covetally/workers/supervisor.py
@@ -21,9 +21,11 @@
 from covetally.configuration import NO_ROSTER, Configuration
 from covetally.control.gauges import Ring
 from covetally.control.protocol import Message
+from covetally.loop_monitor import LoopMonitor
 from covetally.net.config import ConfigError
 from covetally.net.frontend import bound
 from covetally.process import manager_of
+from covetally.signals import SignalHandlers
 from covetally.workers import merge
 from covetally.workers.channel import Channel
 from covetally.workers.claims import SharedIds
@@ -66,6 +68,7 @@
         self._serial = itertools.count()
         self._tasks: set[asyncio.Task[None]] = set()
         self._ready = False
+        self._monitor = LoopMonitor()
         self._listener: socket.socket
         self._ids = SharedIds.create()
 
@@ -83,13 +86,14 @@
 
     async def run(self) -> None:
         """Serve until told to end, then let every worker drain."""
-        loop = asyncio.get_running_loop()
         config = self.configuration.config
         logging.getLogger().setLevel(config.log_level.upper())
+        self._monitor.start()
+        signals = SignalHandlers()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        loop.add_signal_handler(signal.SIGUSR2, self.replace)
+            signals.on(number, self._stop.set)
+        signals.on(signal.SIGHUP, self.reload)
+        signals.on(signal.SIGUSR2, self.replace)
         self._listener = await self._bound()
         self._do(self._crew.tick(self._now))
         if self.manager is not None:
@@ -103,6 +107,7 @@
         await self._idle.wait()
         if self.manager is not None:
             await self.manager.stop()
+        self._monitor.stop()
         log.info("%s ends", config.name)
 
     async def _bound(self) -> socket.socket:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -282,7 +282,8 @@
         "import asyncio, os, sys\nfrom covetally.process import Process, Configuration\n"
         "async def main(): Process(Configuration(os.environ, None))\nasyncio.run(main())\n"
         "print([m for m in sys.modules if m.startswith('covetally.') and m.split('.')[1] not in"
-        " ('net', 'policy', 'interface', 'errors', 'process', 'configuration')], 'tomllib' in sys.modules)"
+        " ('net', 'policy', 'interface', 'errors', 'process', 'configuration', 'signals', 'loop_monitor')],"
+        " 'tomllib' in sys.modules)"
     )
     done = subprocess.run(
         [sys.executable, "-c", code],
