Hear a list that takes longer than a call's patience

Cause: Discovery._call broke a call off at asking.call's within_s (0.1 to 0.25 s for a look at a pushed list, 2.5 s where lists are asked for) and began anew with the same patience, so an answer that took longer each time was never read: the sidecar went on sending to servers that had long been leaving, with one line in the log. A call that fails by a bug is now logged and asked again; it ended the watch before. Ruled out: doubling patience (too late after an outage for a fast agent), one call open for good (hides the agent's return).

--- a/covetally/membership/platform.py
+++ b/covetally/membership/platform.py
@@ -7,7 +7,8 @@
 
 from covetally.interface import Settings
 from covetally.membership.model import LEAVING, UP, Member, Read
-from covetally.net.discovery import Discovery, ListUpdate
+from covetally.net.discovery import Discovery
+from covetally.net.server_list import ListUpdate
 
 WORDS = {"up": (UP, "active"), "draining": (LEAVING, "leaving")}
 
--- a/covetally/membership/roster.py
+++ b/covetally/membership/roster.py
@@ -24,7 +24,8 @@
 from covetally.membership.platform import Platform
 from covetally.membership.settings import Plan
 from covetally.net.clock import Clock
-from covetally.net.discovery import Discovery, ListUpdate
+from covetally.net.discovery import Discovery
+from covetally.net.server_list import ListUpdate
 from covetally.operator import files
 
 log = logging.getLogger(__name__)
--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -1,129 +1,101 @@
-"""The server list: asked for, watched, and told to the module and to upstream."""
+"""The server list: asked for, watched, and told to the module and to upstream.
+
+    state      what is open                                     -> next
+    -----      ------------                                     -------
+    IDLE       nothing is waited for                            ASKING by `start` or `subscribe`
+    ASKING     the newest call, within its patience             ASKING with each answer and after a first failure,
+                                                                PAUSING or IDLE after a further one
+    PAUSING    lists are pushed: the next call is due shortly   ASKING
+
+In each state calls that ran out of patience may be open beside it: the first whole answer of any call counts and
+ends all others. So an answer that takes longer than a call's patience is heard, however often that happens.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import enum
 import json
 import logging
-import re
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from dataclasses import dataclass
+from functools import partial
 
-from covetally.errors import DamagedError
-from covetally.interface import Entry, Settings
+from covetally.interface import Settings
 from covetally.net import asking
 from covetally.net.config import Address
-from covetally.net.message import Broken, End, Malformed, ResponseHead, encode, split_address
+from covetally.net.discovery_call import DiscoveryCall
+from covetally.net.message import Malformed
+from covetally.net.server_list import ListError, ListUpdate, read_list, salvage
 from covetally.net.waiting import Waiting
 
 log = logging.getLogger(__name__)
 
 PATH = "/catalog/members"
-MAX_LIST = 8 * 1024 * 1024
-LIFECYCLES = {"active": "up", "leaving": "draining", "left": "removed"}
-
-_PREAMBLE = re.compile(
-    r'\s*\{\s*(?:"(?:generation|reset)"\s*:\s*(?:\d+|true|false)\s*,\s*)*"instances"\s*:\s*\['
-)
-_COMMA = re.compile(r"\s*,?\s*")
-
 
-class ListError(DamagedError):
-    """A list that cannot be used."""
 
-    code = "list"
-    remedy = "Look at discovery; what came whole counts, and the rest is asked again."
+class State(enum.Enum):
+    """See the module's head."""
 
+    IDLE = enum.auto()
+    ASKING = enum.auto()
+    PAUSING = enum.auto()
 
-class ListUpdate(NamedTuple):
-    """One answer of discovery."""
 
-    generation: int
-    whole: bool
-    entries: list[tuple[Entry, Address]]
+@dataclass(slots=True, eq=False)
+class _OpenCall:
+    """A call that may still be answered. Times are the loop's, in seconds."""
 
-
-def read_list(settings: Settings, raw: Any) -> ListUpdate:
-    """A list in discovery's form; ListError if any of it is malformed."""
-    try:
-        generation, whole, items = raw["generation"], raw["reset"], raw["instances"]
-        if not isinstance(generation, int) or not isinstance(whole, bool) or not isinstance(items, list):
-            raise ListError("generation, reset or instances of the wrong type")
-        return ListUpdate(generation, whole, [_entry(settings, item) for item in items])
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise ListError(f"{type(error).__name__}: {error}") from None
-
-
-def _entry(settings: Settings, item: dict[str, Any]) -> tuple[Entry, Address]:
-    name = item["instanceId"]
-    if not isinstance(name, str) or not name:
-        raise ListError(f"instanceId {name!r}")
-    entry = Entry(
-        server=name,
-        zone=_index(settings.zones, item.get("zone")),
-        kind=_index(settings.kinds, item.get("machineType")),
-        cell=int(item.get("cell") or 0),
-        lifecycle=LIFECYCLES[item["lifecycle"]],
-        weight=float(item.get("weight", 1.0)),
-        started_ns=int(item.get("startedAtMs") or 0) * 1_000_000,
-    )
-    return entry, split_address(item["hostPort"])
-
-
-def _index(names: tuple[str, ...], name: Any) -> int:
-    return names.index(name) if name in names else len(names)
-
-
-def salvage(settings: Settings, text: str) -> list[tuple[Entry, Address]]:
-    """The entries that came whole in an answer that did not: each of them is true."""
-    entries = []
-    start = _PREAMBLE.match(text)
-    at = start.end() if start else len(text)
-    decoder = json.JSONDecoder()
-    while at < len(text):
-        try:
-            item, at = decoder.raw_decode(text, at)
-            entries.append(_entry(settings, item))
-        except (ListError, KeyError, TypeError, ValueError, AttributeError, OverflowError):
-            break
-        at = _COMMA.match(text, at).end()
-    return entries
+    call: DiscoveryCall
+    terms: asking.Call
+    began: float
+    task: asyncio.Task[bytes]
+    timer: asyncio.TimerHandle  # ends its patience, then its life
 
 
 class Discovery:
     """Keeps the list known. What it has learnt stays valid when discovery is down."""
 
     def __init__(self, settings: Settings, address: Address) -> None:
+        self._pushed = not settings.must_ask
         self._settings = settings
         self._grace_s = settings.invariants.drain_grace_ns / 1e9
         self._address = address
-        self._index: int | None = None
-        self._stream: Waiting | None = None
-        self._partial = bytearray()
-        self._failing = False  # the last call
-        self._task: asyncio.Task[None] | None = None
+        self._index: int | None = None  # the version of the list that is known
+        self._connection: Waiting | None = None  # kept between two calls
+        self._failing = False  # the newest call that has ended, or ran out of patience
+        self._state = State.IDLE
+        self._newest: _OpenCall | None = None
+        self._kept: list[_OpenCall] = []  # ran out of patience, and may still be answered
+        self._kept_began = float("-inf")  # when the one that was kept last had begun
+        self._pause: asyncio.TimerHandle | None = None
         self.on_list: Callable[[ListUpdate], None]
         self.on_failure: Callable[[], None]
 
+    # --- what is wanted of it -------------------------------------------------------------------
+
     def start(self) -> None:
         """Where lists are pushed: watch for good."""
-        if not self._settings.must_ask:
-            self._run(self._watch())
+        if self._pushed and self._state is State.IDLE:
+            self._ask()
 
     def subscribe(self) -> None:
         """Where lists are asked for, at the module's word: watch until a call fails. The first to fail is asked
         anew at once, since a kept connection may have been closed; each further one brings a pause.
         """
-        if self._settings.must_ask and (self._task is None or self._task.done()):
-            self._run(self._watch_once())
+        if not self._pushed and self._state is State.IDLE:
+            self._ask()
 
     def stop(self) -> None:
         """End the watch."""
-        if self._task is not None:
-            self._task.cancel()
-        if self._stream is not None:
-            self._stream.close()
-            self._stream = None
+        self._state = State.IDLE
+        self._close_calls()
+        if self._pause is not None:
+            self._pause.cancel()
+            self._pause = None
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
 
     def again(self) -> None:
         """Watch anew, beginning with the whole list, whatever was told before."""
@@ -139,99 +111,143 @@
         """
         if address == self._address:
             return
-        self._address, self._index, self._failing = address, None, False
-        watching = self._task is not None and not self._task.done()
+        watching = self._state is not State.IDLE
         self.stop()
+        self._address, self._index, self._failing = address, None, False
         if watching:
-            self._run(self._watch_once() if self._settings.must_ask else self._watch())
-
-    def _run(self, work: Any) -> None:
-        self._task = asyncio.create_task(work)
-        self._task.add_done_callback(_report)
-
-    async def _watch(self) -> None:
-        while True:
-            if not await self._ask():
-                await asyncio.sleep(asking.pause_s(self._grace_s))  # the first fresh call goes out at once
-
-    async def _watch_once(self) -> None:
-        while await self._ask():
-            pass
-        self.on_failure()
-
-    async def _ask(self) -> bool:
-        """One call; False where it failed and the one before had, too."""
-        failed_before = self._failing
+            self._ask()
+
+    # --- calls ----------------------------------------------------------------------------------
+
+    def _ask(self) -> None:
+        """Send the next call."""
+        loop = asyncio.get_running_loop()
+        self._state, self._pause = State.ASKING, None
+        terms = asking.call(self._pushed, self._index is not None, self._failing, self._grace_s)
+        target = PATH if terms.wait_ms < 0 else f"{PATH}?index={self._index}&wait={terms.wait_ms}"
+        call = DiscoveryCall(self._address, target, self._take_connection())
+        task = loop.create_task(call.run())
+        timer = loop.call_later(terms.within_s, self._out_of_patience)
+        self._newest = found = _OpenCall(call, terms, loop.time(), task, timer)
+        task.add_done_callback(partial(self._ended, found))
+
+    def _take_connection(self) -> Waiting | None:
+        connection, self._connection = self._connection, None
+        if connection is not None and connection.disturbed():
+            connection.close()
+            return None
+        return connection
+
+    def _out_of_patience(self) -> None:
+        """The newest call is not waited for alone any longer; it may stay open beside those that follow."""
+        found, self._newest = self._newest, None
+        assert found is not None
+        self._salvage(found)
+        keep_s = asking.keep_s(self._pushed, found.terms)
+        if found.began - self._kept_began >= keep_s / asking.MOST_KEPT or not self._kept:
+            self._kept.append(found)
+            self._kept_began = found.began
+            at = found.began + keep_s
+            found.timer = asyncio.get_running_loop().call_at(at, self._give_up, found)
+        else:
+            self._close(found)
+        self._failed(f"no answer within {found.terms.within_s:.2f} s")
+
+    def _give_up(self, found: _OpenCall) -> None:
+        """A call that was kept beside others has had its time."""
+        self._kept.remove(found)
+        self._salvage(found)
+        self._close(found)
+
+    def _close(self, found: _OpenCall) -> None:
+        found.timer.cancel()
+        found.task.cancel()
+        found.call.close()
+
+    def _close_calls(self) -> None:
+        found = [*self._kept, self._newest] if self._newest is not None else self._kept
+        self._kept, self._newest, self._kept_began = [], None, float("-inf")
+        for each in found:
+            self._close(each)
+
+    def _ended(self, found: _OpenCall, task: asyncio.Task[bytes]) -> None:
+        """A call was answered, or failed; one that was closed here has no say."""
+        if task.cancelled():
+            return
+        if found is not self._newest and found not in self._kept:
+            task.exception()  # looked at, so that asyncio does not tell of it
+            return
+        found.timer.cancel()
         try:
-            self._learn(await self._call())
+            update = read_list(self._settings, _parsed(task.result()))
         except (OSError, Malformed, ListError) as error:
-            self._failing = True
-            self._salvage(error, silent=failed_before)
-            return not failed_before
+            self._broken(found, f"{type(error).__name__}: {error}")
+        except Exception as error:
+            log.exception("a call to discovery failed by a bug")
+            self._broken(found, f"{type(error).__name__}: {error}")
+        else:
+            self._answered(found, update)
+
+    # --- what comes of them ---------------------------------------------------------------------
+
+    def _answered(self, found: _OpenCall, update: ListUpdate) -> None:
+        """The first whole answer counts, whichever call it is to; the next watch follows at once."""
+        connection = found.call.take_connection()
+        self._close_calls()
+        self._connection = connection
+        if self._failing:
+            took_s = asyncio.get_running_loop().time() - found.began
+            log.info("discovery is back: an answer after %.2f s", took_s)
         self._failing = False
-        if failed_before:
-            log.info("discovery is back")
-        return True
-
-    def _salvage(self, error: Exception, silent: bool) -> None:
-        """What came of an answer before it failed is true."""
-        if not silent:
-            log.warning("discovery: %s: %s", type(error).__name__, error)
-        self._close()
-        entries = salvage(self._settings, self._partial.decode("utf-8", "replace"))
+        self._state = State.ASKING
+        try:
+            self._learn(update)
+        finally:
+            if self._state is State.ASKING and self._newest is None:  # else it was stopped or moved meanwhile
+                self._ask()
+
+    def _broken(self, found: _OpenCall, text: str) -> None:
+        """A call has failed."""
+        self._salvage(found)
+        if found is self._newest:
+            self._newest = None
+            self._failed(text)
+        else:
+            self._kept.remove(found)
+
+    def _failed(self, text: str) -> None:
+        """The newest call has failed or ran out of patience: what comes next."""
+        first, self._failing = not self._failing, True
+        if first:
+            log.warning("discovery: %s", text)
+            self._ask()
+        elif self._pushed:
+            pause_s = asking.pause_s(self._grace_s)
+            self._state = State.PAUSING
+            self._pause = asyncio.get_running_loop().call_later(pause_s, self._ask)
+        else:
+            self._state = State.IDLE
+            self.on_failure()
+
+    def _salvage(self, found: _OpenCall) -> None:
+        """What came whole of an answer that is not is true."""
+        entries = salvage(self._settings, found.call.received.decode("utf-8", "replace"))
         if entries:
             self.on_list(ListUpdate(0, False, entries))
 
-    def _learn(self, news: ListUpdate) -> None:
-        if self._index is not None and news.generation < self._index and not news.whole:
+    def _learn(self, update: ListUpdate) -> None:
+        if self._index is not None and update.generation < self._index and not update.whole:
             # A discovery that started anew counts from below: changes since our version mean nothing to it.
-            log.warning("discovery went back from version %d to %d", self._index, news.generation)
+            log.warning("discovery went back from version %d to %d", self._index, update.generation)
             self._index = None
         else:
-            self._index = news.generation
-        if news.whole or news.entries:
-            self.on_list(news)
-
-    async def _call(self) -> ListUpdate:
-        """One call on the kept connection, or on a new one."""
-        pushed = not self._settings.must_ask
-        way = asking.call(pushed, self._index is not None, self._failing, self._grace_s)
-        target = PATH if way.wait_ms < 0 else f"{PATH}?index={self._index}&wait={way.wait_ms}"
-        self._partial.clear()
-        async with asyncio.timeout(way.within_s):
-            if self._stream is None or self._stream.disturbed():
-                self._close()
-                self._stream = await Waiting.connect(self._address)
-            stream = self._stream
-            host = f"{self._address[0]}:{self._address[1]}"
-            first = f"GET {target} HTTP/1.1".encode()
-            await stream.write(encode(first, [(b"host", host.encode())], b""))
-            head = await stream.next_event()
-            while isinstance(head, ResponseHead) and head.status < 200:
-                head = await stream.next_event()
-            if not isinstance(head, ResponseHead) or head.status != 200:
-                raise Broken(f"answered {head.status if isinstance(head, ResponseHead) else 'nothing'}")
-            while isinstance(event := await stream.next_event(), bytes):
-                self._partial += event
-                if len(self._partial) > MAX_LIST:
-                    raise ListError("list too long")
-            if event is not End.MESSAGE:
-                raise Broken("ended inside an answer")
-        if not stream.recycle():
-            self._close()
-        text = bytes(self._partial)
-        self._partial.clear()
-        try:
-            return read_list(self._settings, json.loads(text))
-        except ValueError as error:
-            raise ListError(str(error)) from None
-
-    def _close(self) -> None:
-        if self._stream is not None:
-            stream, self._stream = self._stream, None
-            stream.close()
+            self._index = update.generation
+        if update.whole or update.entries:
+            self.on_list(update)
 
 
-def _report(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and (error := task.exception()):
-        log.error("the watch failed by a bug", exc_info=error)
+def _parsed(body: bytes) -> object:
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise ListError(str(error)) from None
--- /dev/null
+++ b/covetally/net/server_list.py
@@ -0,0 +1,81 @@
+"""The list of servers in the platform's form: whole, or what came of one that broke off. No I/O."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Any, NamedTuple
+
+from covetally.errors import DamagedError
+from covetally.interface import Entry, Settings
+from covetally.net.config import Address
+from covetally.net.message import split_address
+
+LIFECYCLES = {"active": "up", "leaving": "draining", "left": "removed"}
+
+_PREAMBLE = re.compile(
+    r'\s*\{\s*(?:"(?:generation|reset)"\s*:\s*(?:\d+|true|false)\s*,\s*)*"instances"\s*:\s*\['
+)
+_COMMA = re.compile(r"\s*,?\s*")
+
+
+class ListError(DamagedError):
+    """A list that cannot be used."""
+
+    code = "list"
+    remedy = "Look at discovery; what came whole counts, and the rest is asked again."
+
+
+class ListUpdate(NamedTuple):
+    """One answer of discovery."""
+
+    generation: int
+    whole: bool
+    entries: list[tuple[Entry, Address]]
+
+
+def read_list(settings: Settings, raw: Any) -> ListUpdate:
+    """A list in discovery's form; ListError if any of it is malformed."""
+    try:
+        generation, whole, items = raw["generation"], raw["reset"], raw["instances"]
+        if not isinstance(generation, int) or not isinstance(whole, bool) or not isinstance(items, list):
+            raise ListError("generation, reset or instances of the wrong type")
+        return ListUpdate(generation, whole, [_entry(settings, item) for item in items])
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise ListError(f"{type(error).__name__}: {error}") from None
+
+
+def _entry(settings: Settings, item: dict[str, Any]) -> tuple[Entry, Address]:
+    name = item["instanceId"]
+    if not isinstance(name, str) or not name:
+        raise ListError(f"instanceId {name!r}")
+    entry = Entry(
+        server=name,
+        zone=_index(settings.zones, item.get("zone")),
+        kind=_index(settings.kinds, item.get("machineType")),
+        cell=int(item.get("cell") or 0),
+        lifecycle=LIFECYCLES[item["lifecycle"]],
+        weight=float(item.get("weight", 1.0)),
+        started_ns=int(item.get("startedAtMs") or 0) * 1_000_000,
+    )
+    return entry, split_address(item["hostPort"])
+
+
+def _index(names: tuple[str, ...], name: Any) -> int:
+    return names.index(name) if name in names else len(names)
+
+
+def salvage(settings: Settings, text: str) -> list[tuple[Entry, Address]]:
+    """The entries that came whole in an answer that did not: each of them is true."""
+    entries = []
+    start = _PREAMBLE.match(text)
+    at = start.end() if start else len(text)
+    decoder = json.JSONDecoder()
+    while at < len(text):
+        try:
+            item, at = decoder.raw_decode(text, at)
+            entries.append(_entry(settings, item))
+        except (ListError, KeyError, TypeError, ValueError, AttributeError, OverflowError):
+            break
+        at = _COMMA.match(text, at).end()
+    return entries
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -23,10 +23,11 @@
 from covetally.net import early
 from covetally.net.clock import Clock
 from covetally.net.config import ConfigError
-from covetally.net.discovery import Discovery, ListError, ListUpdate, read_list
+from covetally.net.discovery import Discovery
 from covetally.net.frontend import Frontend, bound
 from covetally.net.peers import Peers
 from covetally.net.seams import Claims
+from covetally.net.server_list import ListError, ListUpdate, read_list
 from covetally.net.sidecar import Sidecar
 from covetally.net.system_errors import LACKS
 from covetally.net.upstream import Upstream
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -16,7 +16,7 @@
 from covetally.membership.hung import FAILED_CHECKS, SILENT, SPAN_NS, Hung, schedule
 from covetally.membership.model import LEAVING, Member
 from covetally.membership.platform import Platform
-from covetally.net.discovery import ListUpdate
+from covetally.net.server_list import ListUpdate
 from covetally.operator import files
 from covetally.operator.url import split_url
 from tests.membership.standin import run
