--- a/tests/incidents/test_orders.py
+++ b/tests/incidents/test_orders.py
@@ -6,13 +6,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import time
 
 from covetally.rig.managed import QUICK, Managed
+from covetally.rig.site import LOAD_CLASSES
 from covetally.rig.world import Shape
-from tests.loopback import WAIT_S
+from tests.loopback import WAIT_S, read_message
+from tests.test_standing import get
 
 PLATFORM_ROSTER = f'{QUICK}\n[roster]\nsource = "platform"'
 WATCH_S = 1.5  # a sidecar that came back is looked at for so long
@@ -69,3 +72,60 @@
             assert await kill_and_watch(world, "a0") == {200}
 
     asyncio.run(main())
+
+
+# --- the end of a drain ---------------------------------------------------------------------------
+
+LONGEST_S = max(cls.deadline_ms for cls in LOAD_CLASSES) / 1000
+MARGIN_S, SLACK_S = 0.5, 0.5  # of a drain beyond the longest deadline, and for a loaded machine
+
+
+async def keep_asking(address: tuple[str, int], number: int, answers: list[bytes], missing: list[str]) -> None:
+    """Ask on one connection for as long as it stays open, then on another, and so on, until cancelled."""
+    turn = 0
+    while True:
+        reader, writer = await asyncio.open_connection(*address)
+        with contextlib.closing(writer):
+            closed = False
+            while not closed:
+                turn += 1
+                name = f"c{number}-{turn}"
+                writer.write(get(name))
+                try:
+                    answers.append(await read_message(reader))
+                except (asyncio.IncompleteReadError, ConnectionError):
+                    missing.append(name)
+                    break
+                closed = b"connection: close" in answers[-1].lower()
+                await asyncio.sleep(0.02)
+
+
+def test_a_drain_ends_with_no_connection_and_no_request_and_newcomers_are_refused():
+    async def main():
+        async with asyncio.timeout(2 * WAIT_S), Managed(Shape(nodes=2, instances=1)) as world:
+            await world.start_supervised()
+            address = world.instances["a0"].address
+            answers: list[bytes] = []
+            missing: list[str] = []
+            clients = [asyncio.create_task(keep_asking(address, i, answers, missing)) for i in range(6)]
+            await asyncio.sleep(0.3)
+            assert (await world.command("drain", "-s", "name=a0"))[0] == 0
+            drained_by = time.monotonic() + LONGEST_S + MARGIN_S + SLACK_S
+            while (await instances(world))["a0"]["state"] != "drained":
+                assert time.monotonic() < drained_by, "the drain has no end"
+                await asyncio.sleep(0.05)
+            answers.clear()
+            reader, _ = await asyncio.open_connection(*address)  # says nothing
+            await asyncio.sleep(0.5)
+            assert await health(address) == 503
+            assert answers and all(b" 503 " in answer and b"retry-after" in answer.lower() for answer in answers)
+            assert await reader.read() == b"", "a silent newcomer is not kept"
+            assert (await world.command("resume", "-s", "name=a0"))[0] == 0
+            answers.clear()
+            await asyncio.sleep(0.5)
+            assert any(b" 200 " in answer for answer in answers)
+            for client in clients:
+                client.cancel()
+            assert missing == []
+
+    asyncio.run(main())
