Give who has just connected the moment that a request takes, before making room

Cause: Frontend._evict closed the oldest connection that had said nothing, also one that had come milliseconds before and whose request was on its way: beside a crowd of idle connections the first request of every client met a closed connection. Change: net/eviction.py has the order in which connections go. A newcomer is spared for 50 ms from its establishment (the kernel's time, so what it waited in the backlog counts); meanwhile others wait in the backlog, and accepting goes on when the oldest newcomer's moment is over. Those silent for longest go first, as before.

--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -15,6 +15,7 @@
 from covetally.net.budget import BodyBudget
 from covetally.net.client import HALF_SENT_S, Client
 from covetally.net.closing import CloseReason
+from covetally.net.eviction import EvictionOrder
 from covetally.net.heads import Heads
 from covetally.net.ids import RecentIds
 from covetally.net.invariants import Invariant
@@ -32,7 +33,6 @@
 RECEIVE_BUFFER = 64 * 1024  # kernel's, for each connection: what lies there unread is already taken
 REST_SHARE = 1 / 4  # of the connections may rest between requests at a time
 LOOKS = 8  # at so many resting connections at a time, for one that may be closed
-HALF_SENT_OLD_S = 0.3  # a request that takes longer to come makes room for others when there is none
 PROMPT_NS = 6_000_000  # what has lain here no longer is read at once,
 TURN_S = 0.01  # and the rest for so long between two looks at the sockets
 
@@ -85,10 +85,8 @@
         self.gate: Gate | None = None  # caps on tenants' connections, where there are any
         self.retune(settings, limit, body_memory)
         self._clients: dict[Client, None] = {}
-        # With no request taken, in the order of coming: those that never finished one, and those that did.
-        self._fresh: dict[Client, None] = {}
-        self._idle: dict[Client, None] = {}
-        self._lingering: dict[Client, None] = {}  # had a last answer, and may send on
+        self._order = EvictionOrder()
+        self._room_timer: asyncio.TimerHandle | None = None  # when a newcomer may be closed for the next one
         self._ids = RecentIds(max(c.deadline_ns for c in settings.classes) / SECOND)
         self._listener: socket.socket
         self._claims: Claims | None = None
@@ -146,7 +144,8 @@
     def _accept_one(self) -> AcceptResult:
         """Let one connection in, if there is one and room for it."""
         if len(self._clients) >= self._limit and not self._evict():
-            self._pause()  # every connection has a request under way; the first to end makes room
+            self._pause()  # the first request to end makes room, or the first newcomer whose moment is over
+            self._resume_for_newcomers()
             return NO_ROOM
         try:
             sock, _ = self._listener.accept()
@@ -161,7 +160,8 @@
             self._pause()
             asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._resume)
             return NO_ROOM
-        if not tcp_info(sock)[0]:
+        up, waited_ns = tcp_info(sock)
+        if not up:
             # Guards against a full backlog of clients that gave up while they waited: to read and answer what
             # they sent, which nobody will see, would make those wait who are still there. It ought to catch
             # any crowd that connects and leaves. It does harm to a client that closes its side for writing
@@ -169,43 +169,42 @@
             sock.close()
             return ACCEPTED
         sock.setblocking(False)
-        self._begin(sock, REGISTER_TRIES)
+        self._begin(sock, waited_ns / SECOND, REGISTER_TRIES)
         return ACCEPTED
 
-    def _begin(self, sock: socket.socket, tries: int) -> None:
-        """See an accepted connection through. Where the system cannot watch it now, it is tried again shortly:
-        the machine has taken it, and its client may have sent a request already."""
+    def _begin(self, sock: socket.socket, waited_s: float, tries: int) -> None:
+        """See an accepted connection through, which waited so long in the backlog.
+
+        Where the system cannot watch it now, it is tried again shortly: the machine has taken it, and its client
+        may have sent a request already.
+        """
         try:
             client = Client(self, sock)
+            client.since -= waited_s
         except OSError as error:
             log.warning("cannot watch a connection: %s", error)
             if tries > 0:
-                asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._begin, sock, tries - 1)
+                asyncio.get_running_loop().call_later(ACCEPT_PAUSE_S, self._begin, sock, waited_s, tries - 1)
             else:
                 sock.close()
             return
-        self._fresh[client] = self._clients[client] = None
+        self._order.fresh[client] = self._clients[client] = None
 
-    def _evict(self) -> bool:
-        """Make room. First goes who has had a last answer, then who has said nothing yet, then who rests
-        between requests, then who takes long to send one. A connection with a request taken never goes, nor
-        one whose bytes wait unread."""
-        for client in self._lingering:
-            return self._evict_client(client)
-        late = asyncio.get_running_loop().time() - HALF_SENT_OLD_S
-        for group in (self._fresh, self._idle):
-            for client in group:
-                if client.silent():
-                    return self._evict_client(client)
-        for group in (self._fresh, self._idle):
-            for client in group:
-                if client.in_message and client.since < late:
-                    return self._evict_client(client)
-        return False
+    def _resume_for_newcomers(self) -> None:
+        """Accept again once the oldest newcomer has had its moment to send."""
+        due = self._order.due()
+        if self._room_timer is not None:
+            self._room_timer.cancel()
+            self._room_timer = None
+        if due is not None:
+            self._room_timer = asyncio.get_running_loop().call_at(due, self._resume)
 
-    def _evict_client(self, client: Client, reason: CloseReason = CloseReason.MADE_ROOM) -> bool:
-        client.close(reason)
-        return True
+    def _evict(self) -> bool:
+        """Make room by one connection; whether there was one to close (see `EvictionOrder`)."""
+        client = self._order.choose(asyncio.get_running_loop().time())
+        if client is not None:
+            client.close(CloseReason.MADE_ROOM)
+        return client is not None
 
     def ended(self, client: Client, reason: CloseReason | None) -> None:
         """Its connection is closed (see `Host`)."""
@@ -279,18 +278,17 @@
         """
         if client not in self._clients:
             return
-        self._idle[client] = None
-        if len(self._idle) > self._rest_limit or len(self._clients) > self._limit:
-            longest = next((c for c in islice(self._idle, LOOKS) if c.silent()), None)
+        idle = self._order.idle
+        idle[client] = None
+        if len(idle) > self._rest_limit or len(self._clients) > self._limit:
+            longest = next((c for c in islice(idle, LOOKS) if c.silent()), None)
             if longest is not None:
-                self._evict_client(longest, CloseReason.IDLE_LIMIT)
+                longest.close(CloseReason.IDLE_LIMIT)
         self._resume()
 
     def busy(self, client: Client) -> None:
         """It must not be closed to make room."""
-        self._fresh.pop(client, None)
-        self._idle.pop(client, None)
-        self._lingering.pop(client, None)
+        self._order.discard(client)
 
     def lingers(self, client: Client) -> None:
         """It has had its last answer: it goes first when room is needed.
@@ -300,7 +298,7 @@
         """
         self.busy(client)
         if client in self._clients:
-            self._lingering[client] = None
+            self._order.lingering[client] = None
             self._resume()
 
     def claim(self, trace_id: bytes) -> bool:
@@ -327,7 +325,7 @@
             return
         self._enter(Stage.RESTING if resting else Stage.SERVING)
         if resting:
-            self._close_silent(self._fresh, self._idle)
+            self._close_silent(self._order.fresh, self._order.idle)
 
     async def drain(self, within_s: float, accept: bool = True) -> None:
         """Finish what was taken, and close all connections within this time. New connections go on coming for a
@@ -339,7 +337,7 @@
         self.sidecar.end_by(answered_by)
         # Early: a request that crosses this is sent anew and finds the listener open. Not those that have just
         # come: their first request is on its way.
-        self._close_silent(self._idle)
+        self._close_silent(self._order.idle)
         if accept:
             await asyncio.sleep(times.accepting_s)
             await self._accept_backlog(answered_by)
@@ -348,9 +346,9 @@
         self._log_held("the listener is closed")
         await self._all_closed(began + times.accepting_s + HALF_SENT_S)
         # Who has begun to send may end it: once its last byte is written, an answer is owed.
-        self._close_silent(self._fresh, self._idle)
+        self._close_silent(self._order.fresh, self._order.idle)
         await self._all_closed(answered_by)
-        self._close_silent(self._fresh, self._idle)
+        self._close_silent(self._order.fresh, self._order.idle)
         self._log_held("whoever has not sent a whole request is turned away")
         for client in list(self._clients):
             client.turn_away()
@@ -387,7 +385,7 @@
             if client.owed:
                 name = client.trace_id.decode("latin-1")
                 self.sidecar.violations.report(Invariant.ENDED_OWING, name, "no answer when the process ended")
-            client.close(CloseReason.SHUTDOWN, reset=client not in self._lingering)
+            client.close(CloseReason.SHUTDOWN, reset=client not in self._order.lingering)
 
     def _close_silent(self, *groups: dict[Client, None]) -> None:
         """Close who has sent nothing of a request."""
