Keep what an operator has ordered of a sidecar, and give a drain by order its end

Cause: drain, resume and the roster's hold were one message in one process's memory. A sidecar that was killed came back serving and on auto; an order to one that was away was refused and forgotten; the agent kept none. A drained sidecar served whoever came, without end. Change: orders are a state with a revision (control/orders.py). The agent writes it to its store before it is told (fleet/orders.py), sends it with the welcome, compares it with each heartbeat and tells it again; the sidecar keeps it in control.keep before it acknowledges, and puts it in force before its first request. What an instance refuses is withdrawn; a store that was lost learns from the instances.

--- a/covetally/cli/change.py
+++ b/covetally/cli/change.py
@@ -160,7 +160,6 @@
         sys.exit(ALL_TOOK if all(item["done"] for item in found) else SOME_DID_NOT)
 
     command.help = {
-        "drain": "Let instances tell their clients to stay away; what comes is served all the same.",
         "resume": "Let drained instances be ready again.",
     }[what]
     return command
--- a/covetally/cli/look.py
+++ b/covetally/cli/look.py
@@ -29,6 +29,7 @@
         revision = str(item["assigned"]) if item["in_step"] else f"{item['revision']}, not {item['assigned']}"
         labels = ",".join(f"{k}={v}" for k, v in sorted(item["labels"].items()))
         note = item["note"] or ("waits for a restart" if item["pending_restart"] else "")
+        note = "; ".join(filter(None, (note, _ordered(item.get("orders", {})))))
         rows.append((
             item["name"], labels, item["state"], revision, item["answers"], item["bad"], item["lag_ms"],
             ago(item["last_seen"]), note,
@@ -39,6 +40,16 @@
     console.print(f"{len(found['instances'])} instances, {away} not connected; head is revision {found['head']}")
 
 
+def _ordered(orders: dict[str, Any]) -> str:
+    """The orders in force for an instance, in a few words; empty where there are none."""
+    words = []
+    if orders.get("draining"):
+        words.append("drain")
+    if orders.get("roster", "auto") != "auto":
+        words.append(f"roster {orders['roster']}")
+    return f"ordered by {orders['who']} {ago(orders['at'])}: {', '.join(words)}" if words else ""
+
+
 @click.command()
 @click.argument("name")
 @connected
@@ -56,6 +67,8 @@
         console.print(f"  {key} = {json.dumps(value)}   ({wanted['origin'][key] or 'all'})")
     if found["note"]:
         console.print(f"note: {found['note']}")
+    if ordered := _ordered(found.get("orders", {})):
+        console.print(ordered)
     snapshot = found.get("snapshot")
     if snapshot is None:
         return
--- a/covetally/control/instance.py
+++ b/covetally/control/instance.py
@@ -36,7 +36,7 @@
 
     @property
     def state(self) -> str:
-        """serving or draining."""
+        """serving, draining or drained."""
 
     @property
     def ending(self) -> bool:
@@ -48,8 +48,14 @@
     def manage(self, values: dict[str, Any]) -> None:
         """Take up these settings; ConfigError, and nothing changed, if they cannot be used."""
 
-    def rest(self, resting: bool) -> None:
-        """Tell clients to stay away, or to come back."""
+    def drain(self, within_s: float | None) -> None:
+        """Tell clients to stay away, and hold none of them after so many seconds; None: as soon as can be."""
+
+    def resume(self) -> None:
+        """Let clients come back."""
+
+    def start_drained(self) -> None:
+        """Refuse clients from the start of the process on, until `resume`."""
 
     def end(self) -> None:
         """Drain and end."""
--- a/covetally/control/keep.py
+++ b/covetally/control/keep.py
@@ -1,25 +1,39 @@
-"""The file in which a sidecar's memory outlives its process."""
+"""The file in which a sidecar's memory outlives its process: settings taken, and what was ordered of it."""
 
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from pathlib import Path
 
-from covetally.control import taking
+from covetally.control import orders, taking
+from covetally.control.orders import NO_ORDERS, Orders
 from covetally.control.taking import Memory
 from covetally.operator import files
 
 MAX_KEEP = 4 * 1024 * 1024
 
 
-def read(path: Path) -> Memory:
-    """The memory in the file, an empty one where there is no file; ValueError if it cannot be used."""
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What is in the file."""
+
+    memory: Memory = Memory()
+    orders: Orders = NO_ORDERS
+
+
+def read(path: Path) -> Kept:
+    """What is kept, nothing where there is no file; ValueError if the file cannot be used."""
     data = files.read(path, MAX_KEEP)
     if data is None:
-        return Memory()
-    return taking.from_table(json.loads(data))
+        return Kept()
+    table = json.loads(data)
+    memory = taking.from_table(table)
+    # A file of a version that kept no orders has none.
+    return Kept(memory, orders.from_table(table["orders"]) if "orders" in table else NO_ORDERS)
 
 
-def write(path: Path, memory: Memory) -> None:
+def write(path: Path, kept: Kept) -> None:
     """Replace the file's content, wholly or not at all, also if the machine stops; OSError if it cannot be."""
-    files.replace(path, json.dumps(taking.to_table(memory), indent=1).encode())
+    table = taking.to_table(kept.memory) | {"orders": kept.orders.table()}
+    files.replace(path, json.dumps(table, indent=1).encode())
--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -16,9 +16,11 @@
 from typing import TYPE_CHECKING, Any
 
 from covetally.control import keep, taking
+from covetally.control.keep import Kept
+from covetally.control.orders import WORDS, Orders, RosterMode, from_table
 from covetally.control.protocol import HELLO_S, VERSIONS, Decoder, Message, ProtocolError, digest, encode
 from covetally.control.redial import Redial
-from covetally.control.taking import Held, Memory, Step
+from covetally.control.taking import Held, Step
 from covetally.net.config import ConfigError
 
 if TYPE_CHECKING:
@@ -44,7 +46,9 @@
         self._boot = secrets.token_hex(8)
         self._epoch = 0  # the highest of any order to go out; this process's memory only
         self._path = Path(str(own["control.keep"])) if "control.keep" in own else None
-        self._memory = taking.start(self._recall())
+        kept = self._recall()
+        self._memory = taking.start(kept.memory)
+        self.orders = kept.orders  # what an operator wants of this sidecar, as far as it is known here
         self._redial = Redial(0.5, 30.0)
         self._writer: asyncio.StreamWriter | None = None
         self._task: asyncio.Task[None] | None = None
@@ -55,21 +59,21 @@
 
     # --- before and after -----------------------------------------------------------------------
 
-    def _recall(self) -> Memory:
+    def _recall(self) -> Kept:
         if self._path is None:
-            return Memory()
+            return Kept()
         try:
             return keep.read(self._path)
         except ValueError as error:
             log.error("control.keep: %s: %s: nothing managed is in force", self._path, error)
-            return Memory()
+            return Kept()
 
     def at_start(self) -> dict[str, Any]:
         """The managed settings to start with. The memory is written first: if they kill the process before it
         has proven them, the next one must know."""
         if self._path is not None and self._memory.trial is not None:
             try:
-                keep.write(self._path, self._memory)
+                keep.write(self._path, Kept(self._memory, self.orders))
             except OSError as error:
                 log.error("control.keep: %s: starting without what is on trial", error)
                 self._memory = taking.unusable(self._memory, f"control.keep cannot be written: {error}")
@@ -81,6 +85,15 @@
         self._memory = taking.unusable(self._memory, reason)
         return dict(self._memory.in_force.values)
 
+    def restore_orders(self) -> None:
+        """Put what was ordered of the process before this one in force, before a request is taken."""
+        if self.orders.draining:
+            self._instance.start_drained()
+        if self.orders.roster is RosterMode.AUTO:
+            return
+        if reason := self._instance.order(self.orders.roster.value):
+            log.error("the order %s of the roster cannot hold: %s", self.orders.roster.value, reason)
+
     def start(self) -> None:
         """The sidecar serves: look for the agent."""
         self.gauges = self._instance.gauges()
@@ -141,6 +154,8 @@
             if first["t"] != "welcome" or first["version"] not in VERSIONS:
                 raise ProtocolError(f"the agent answers {first!r:.200}")
             log.info("managed as %s by the agent at %s", self.name, self._own["control.agent"])
+            if "orders" in first and (problem := await self._take_orders(first["orders"])):
+                log.error("orders of the agent: %s", problem)
             self._told_down = False
             beats = asyncio.create_task(self._beat())
             while True:
@@ -193,7 +208,7 @@
             "pending": memory.pending.digest if memory.pending else "",
             "failed": memory.failed.digest if memory.failed else "", "reason": memory.reason,
             "may_restart": bool(self._own.get("control.may_restart", False)),
-            "epoch": self._epoch, "keeps": self._path is not None,
+            "epoch": self._epoch, "keeps": self._path is not None, "orders": self.orders.table(),
             "token": self._token(), "beat": self._beat_message(),
         }  # fmt: skip
 
@@ -215,7 +230,8 @@
     def _beat_message(self) -> Message:
         memory = self._memory
         pending = memory.pending.digest if memory.pending else ""
-        return {"t": "beat", "digest": memory.in_force.digest, "pending": pending} | self.gauges.beat()
+        ours = {"digest": memory.in_force.digest, "pending": pending, "orders": self.orders.revision}
+        return {"t": "beat"} | ours | self.gauges.beat()
 
     async def _beat(self) -> None:
         while True:
@@ -232,11 +248,10 @@
             case "ask":
                 self._send({"t": "answer", "id": message["id"]} | await self._asked(message))
             case "do":
-                done = self._behind(message) or self._do(message["what"])
-                self._send({"t": "answer", "id": message["id"], "error": done} | self._beat_message_plain())
-
-    def _beat_message_plain(self) -> Message:
-        return {"state": self._instance.state}
+                problem = self._behind(message) or await self._done(message)
+                self._send(
+                    {"t": "answer", "id": message["id"], "error": problem, "state": self._instance.state}
+                )
 
     async def _asked(self, message: Message) -> dict[str, Any]:
         what = message["what"]
@@ -278,15 +293,22 @@
         self._epoch = epoch
         return ""
 
-    def _do(self, what: str) -> str:
+    async def _done(self, message: Message) -> str:
         """Carry out an order; empty, or why not."""
-        instance = self._instance
-        if instance.ending:
+        what = message["what"]
+        if self._instance.ending:
             return "" if what == "restart" else "the sidecar is ending"
+        if what in WORDS:
+            if "orders" in message:
+                return await self._take_orders(message["orders"])
+            return await self._adopt_orders(self.orders.ordered(what, self.orders.revision))
+        return self._do_once(what)
+
+    def _do_once(self, what: str) -> str:
+        """Carry out what is no state; empty, or why not."""
+        instance = self._instance
         match what:
-            case "drain" | "resume":
-                instance.rest(what == "drain")
-            case "believe" | "hold" | "auto":
+            case "believe":
                 if reason := instance.order(what):
                     return reason
             case "restart":
@@ -299,6 +321,42 @@
         log.info("%s: %s at the agent's word", self.name, what)
         return ""
 
+    # --- what an operator has ordered -----------------------------------------------------------
+
+    async def _take_orders(self, table: Any) -> str:
+        """Take up the state that the agent wants; empty, or why not. What is older than what is held is late."""
+        try:
+            wanted = from_table(table)
+        except ValueError as error:
+            return str(error)
+        if wanted.revision < self.orders.revision:
+            return f"orders of revision {self.orders.revision} are held here, and these are of {wanted.revision}"
+        return await self._adopt_orders(wanted)
+
+    async def _adopt_orders(self, wanted: Orders) -> str:
+        """Keep a state, then put it in force: what cannot be kept is not acknowledged. Empty, or why not."""
+        before = self.orders
+        if wanted == before:
+            return ""
+        if wanted.roster is not before.roster:
+            reason = self._instance.order(wanted.roster.value)
+            if reason and wanted.roster is not RosterMode.AUTO:  # without a roster there is nothing to undo
+                return reason
+        self.orders = wanted
+        try:
+            await self._keep()
+        except OSError as error:
+            self.orders = before
+            self._instance.order(before.roster.value)
+            return f"control.keep cannot be written: {error}"
+        if wanted.draining:
+            self._instance.drain(wanted.within_s)
+        elif before.draining:
+            self._instance.resume()
+        log.info("%s: orders of revision %d: draining %s, roster %s", self.name, wanted.revision,
+                 wanted.draining, wanted.roster.value)  # fmt: skip
+        return ""
+
     async def _offered(self, message: Message) -> Message:
         offered = Held(message["revision"], message["digest"], message["values"])
         problems, restart = self._check(offered)
@@ -339,7 +397,7 @@
     async def _keep(self) -> None:
         if self._path is not None:
             async with self._writing:
-                await asyncio.to_thread(keep.write, self._path, self._memory)
+                await asyncio.to_thread(keep.write, self._path, Kept(self._memory, self.orders))
 
     def _prove_later(self) -> None:
         if self._proving is not None:
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -21,6 +21,7 @@
 from covetally.fleet.drains import Drains, Wanted
 from covetally.fleet.freezes import Freezes
 from covetally.fleet.links import Link
+from covetally.fleet.orders import OrderBook
 from covetally.fleet.refused import Refused
 from covetally.fleet.registry import Instance
 from covetally.fleet.rollout import Member, Phase, Plan, Restart, Rollout, Send, State, UndoWanted
@@ -60,7 +61,6 @@
         self._todo: list[tuple[Running, Any]] = []
         self._flush_timer: asyncio.TimerHandle | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
-        self.asks = Asks(self.instances)
         self.supervised: Callable[[], list[dict[str, Any]]] = list
         self.watchers = Watchers(self._rollout_table)
         self.started = time.time()
@@ -69,6 +69,8 @@
         self.freezes = Freezes(store.get("freezes"))
         self.clock = SteadyClock(store.get("clock"))
         self._keep_clock()
+        self.orders = OrderBook(store)
+        self.asks = Asks(self.instances, self.orders, self.clock)
         self.drains = Drains(store, self.asks, audit.write, self.clock)
         self._opened = False
 
@@ -155,7 +157,8 @@
         pending = str(hello.get("pending", ""))
         beat = {"digest": hello["digest"], "pending": pending, "counts": {}, "state": "serving"}
         instance.beat(self._now(), self.clock.now(), beat)
-        link.welcome()
+        self.orders.reported(instance.name, hello.get("orders"), self.clock.now())
+        link.welcome(self.orders.of(instance.name))
         self._dirty.add(instance.name)
         epoch = hello.get("epoch")
         self.drains.hello(epoch if isinstance(epoch, int) else 0)
@@ -179,6 +182,7 @@
             case "beat":
                 instance.beat(now, self.clock.now(), message)
                 link.send({"t": "seen"})
+                self._compare_orders(instance, message)
                 for running in self._of(instance):
                     totals = instance.totals()
                     self._do(
@@ -197,6 +201,14 @@
                 self._dirty.add(instance.name)
                 self._soon()
 
+    def _compare_orders(self, instance: Instance, beat: Message) -> None:
+        """Tell an instance again what is wanted of it, where its heartbeat shows that it holds something else."""
+        held = beat.get("orders")
+        if isinstance(held, int):
+            self.asks.restore(instance, held)
+        elif self.orders.of(instance.name).draining and beat["state"] == "serving":
+            self.asks.restore(instance, 0)  # of a version that keeps no orders
+
     def _acked(self, instance: Instance, message: Message) -> None:
         outcome, offered = message["outcome"], message["digest"]
         errors = [e for e in message.get("errors", []) if isinstance(e, dict)][:50]
@@ -636,13 +648,15 @@
         """Ask all that a selector means; by name what each answered, or {"error": why it did not}."""
         return await self.asks.ask_all(self.select(selector), what)
 
-    async def order(self, who: str, what: str, selector: str) -> list[dict[str, Any]]:
-        """Drain or resume instances; what each answered."""
+    async def order(
+        self, who: str, what: str, selector: str, within_s: float | None = None
+    ) -> list[dict[str, Any]]:
+        """Drain or resume instances, or order their rosters; what each answered."""
         if what == "drain":
             self._not_frozen(self._selector(selector), who)
         found = self.select(selector)
         self._audit.write(who, what, selector=selector, instances=[i.name for i in found][:1000])
-        return list(await asyncio.gather(*(self.asks.do(i, what) for i in found)))
+        return list(await asyncio.gather(*(self.asks.do(i, what, who, within_s) for i in found)))
 
     def wanted(self, instance: Instance) -> dict[str, Any]:
         """What an instance is to have, and which layer says so."""
@@ -664,6 +678,7 @@
             self._do(running, running.rollout.left(self._now(), name, f"forgotten by {who}"))
         del self.instances[name]
         self._store.forget_instance(name)
+        self.orders.forget(name)
         self._audit.write(who, "forget", instance=name)
         self.flush()
 
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -107,6 +107,8 @@
         raise Refused("bad_input", "the body is no JSON object")
     return body
 
+MAX_WITHIN_S = 86_400  # a day
+
 
 def _take(body: dict[str, Any], key: str, kind: type | tuple[type, ...], default: Any) -> Any:
     value = body.get(key, default)
@@ -219,14 +221,17 @@
 
     async def instances(self, request: web.Request) -> web.Response:
         found = self._agent.select(request.query.get("selector", ""))
-        return web.json_response({"instances": [i.table() for i in found], "head": self._agent.head().number})
+        orders = self._agent.orders
+        tables = [i.table() | {"orders": orders.table(i.name)} for i in found]
+        return web.json_response({"instances": tables, "head": self._agent.head().number})
 
     async def instance(self, request: web.Request) -> web.Response:
         name = request.match_info["name"]
         instance = self._agent.instances.get(name)
         if instance is None:
             raise Refused("unknown", f"there is no instance {name}")
-        table = instance.table() | {"wanted": self._agent.wanted(instance)}
+        wanted = {"wanted": self._agent.wanted(instance), "orders": self._agent.orders.table(name)}
+        table = instance.table() | wanted
         if instance.connected:
             try:
                 table["snapshot"] = await self._agent.asks.ask(name, "snapshot")
@@ -305,7 +310,11 @@
         what, selector = request.match_info["what"], _take(body, "selector", str, "")
         if not self._agent.select(selector):
             raise Refused("unknown", f"no instance is meant by {selector!r}")
-        return web.json_response({"instances": await self._agent.order(request["who"], what, selector)})
+        within_s = _take(body, "within_s", (int, float, type(None)), None)
+        if within_s is not None and (what != "drain" or not 0 <= within_s < MAX_WITHIN_S):
+            raise Refused("bad_input", f"within_s is {within_s!r:.40}: seconds of a drain, under {MAX_WITHIN_S}")
+        found = await self._agent.order(request["who"], what, selector, within_s)
+        return web.json_response({"instances": found})
 
     async def rosters(self, request: web.Request) -> web.Response:
         found = await self._agent.ask_all(request.query.get("selector", ""), "roster")
--- a/covetally/fleet/asks.py
+++ b/covetally/fleet/asks.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from covetally.control.orders import WORDS, RosterMode
 from covetally.control.protocol import Message
+from covetally.fleet.orders import OrderBook
 from covetally.fleet.refused import Refused
 from covetally.fleet.registry import Instance
+from covetally.fleet.steady_clock import SteadyClock
+
+log = logging.getLogger(__name__)
 
 ASKS_AT_ONCE = 100
 ASK_S = 5.0
@@ -18,11 +24,14 @@
 class Asks:
     """Questions under way. `restarter` restarts an instance, False if it supervises none of that name."""
 
-    def __init__(self, instances: Mapping[str, Instance]) -> None:
+    def __init__(self, instances: Mapping[str, Instance], orders: OrderBook, clock: SteadyClock) -> None:
         self.instances = instances
+        self._orders, self._clock = orders, clock
+        self._restoring: set[str] = set()  # instances that are being told again what is wanted of them
         self.restarter: Callable[[str], bool] = lambda name: False
         self._asked: dict[int, tuple[str, asyncio.Future[Message]]] = {}
         self._next = 0
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def answered(self, name: str, message: Message) -> None:
         """An instance answers."""
@@ -46,12 +55,19 @@
         finally:
             del self._asked[number]
 
-    async def do(self, instance: Instance, what: str) -> dict[str, Any]:
-        """Have it drain or resume; what it answered."""
+    async def do(
+        self, instance: Instance, what: str, who: str = "agent", within_s: float | None = None
+    ) -> dict[str, Any]:
+        """Have it do as an operator orders; what it answered. An order that is a state is kept first, and holds
+        for an instance that is away once it comes."""
+        kept = what in WORDS
         try:
-            error = await self._told(instance, what)
+            if kept:
+                error = await self._order(instance, what, who, within_s)
+            else:
+                error = await self._once(instance, what, who)
         except Refused as refused:
-            error = str(refused)
+            error = f"{refused}: the order is kept, and holds when it comes" if kept else str(refused)
         return {"name": instance.name, "done": not error, "error": error}
 
     async def step(self, name: str, what: str, epoch: int) -> str:
@@ -59,10 +75,55 @@
         instance = self.instances[name]
         if what == "restart" and self.restarter(name):
             return ""
+        before = self._orders.of(name)
         try:
+            if what in WORDS:
+                return await self._order(instance, what, "agent", None, epoch=epoch)
             return await self._told(instance, what, epoch=epoch)
         except Refused as error:
-            return "" if what == "restart" and not instance.connected else str(error)
+            if what == "restart":
+                return "" if not instance.connected else str(error)
+            # The permit is taken back: who was not told must not go out later, under no floor.
+            self._orders.withdraw(name, self._orders.of(name), before, "agent", self._clock.now())
+            return str(error)
+
+    async def _order(
+        self, instance: Instance, word: str, who: str, within_s: float | None, **more: Any
+    ) -> str:
+        """Keep a state and tell it; as `_told`. What the instance refuses is not wanted any more."""
+        name, before = instance.name, self._orders.of(instance.name)
+        wanted = self._orders.order(name, word, who, self._clock.now(), within_s)
+        problem = await self._told(instance, word, orders=wanted.table(), **more)
+        if problem:
+            self._orders.withdraw(name, wanted, before, "agent", self._clock.now())
+        return problem
+
+    async def _once(self, instance: Instance, what: str, who: str) -> str:
+        """Tell an order that is no state; as `_told`. Belief at once ends a hold."""
+        problem = await self._told(instance, what)
+        if not problem and what == "believe" and self._orders.of(instance.name).roster is RosterMode.HOLD:
+            return await self._order(instance, "auto", who, None)
+        return problem
+
+    def restore(self, instance: Instance, reported: int) -> None:
+        """Tell an instance again what is wanted of it, if it holds orders of a lower revision."""
+        wanted, name = self._orders.of(instance.name), instance.name
+        if reported >= wanted.revision or name in self._restoring or instance.link is None:
+            return
+        self._restoring.add(name)
+        task = asyncio.get_running_loop().create_task(self._restore(instance))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _restore(self, instance: Instance) -> None:
+        try:
+            wanted = self._orders.of(instance.name)
+            word = "drain" if wanted.draining else "resume"  # all that a version without orders understands
+            await self._told(instance, word, orders=wanted.table())
+        except Refused as error:
+            log.warning("%s was not told what is wanted of it: %s", instance.name, error)
+        finally:
+            self._restoring.discard(instance.name)
 
     async def _told(self, instance: Instance, what: str, **more: Any) -> str:
         """Its reason not to do it, or empty; Refused as `ask_link`."""
--- a/covetally/fleet/links.py
+++ b/covetally/fleet/links.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any, Protocol
 
+from covetally.control.orders import NO_ORDERS, Orders
 from covetally.control.protocol import HELLO_S, Decoder, Message, ProtocolError, encode, pick_version
 
 log = logging.getLogger(__name__)
@@ -92,13 +93,14 @@
         if reason:
             self.deny(reason)
 
-    def welcome(self) -> None:
-        """Let it in."""
+    def welcome(self, orders: Orders = NO_ORDERS) -> None:
+        """Let it in, and say what an operator has ordered of it."""
         self.let_in = True
         self._links.greeted(self)
         if self._timer is not None:
             self._timer.cancel()
-        self.send({"t": "welcome", "version": self.hello["picked"]})
+        wanted = {"orders": orders.table()} if orders.revision else {}
+        self.send({"t": "welcome", "version": self.hello["picked"]} | wanted)
 
     def deny(self, reason: str) -> None:
         """Say why it is not let in, and end."""
--- a/covetally/net/client.py
+++ b/covetally/net/client.py
@@ -41,7 +41,8 @@
 
 log = logging.getLogger(__name__)
 
-REQUEST_S = 2.2  # from the connection, or a later request's first byte, to its last
+REQUEST_S = 2.2  # from the connection, or a later request's first byte, to its last,
+REFUSED_REQUEST_S = 0.5  # and where it will be refused
 IDLE_S = 4.0  # a connection may rest so long between requests
 WRITE_S = 2.0  # a client that does not take its answer for so long is gone
 HALF_SENT_S = 0.1  # for what is still coming when the connection is to end
@@ -97,7 +98,7 @@
         self._timer: Timer | None = None
         self._timer_at = 0.0
         self.stream = Stream(httptools.HttpRequestParser, sock, self._news, self._room)
-        self._wait_for(REQUEST_S)
+        self._wait_for(REFUSED_REQUEST_S if host.refusing else REQUEST_S)
 
     def silent(self) -> bool:
         """Whether nothing of a request has come, as far as the kernel knows."""
@@ -156,6 +157,11 @@
         self._timer_at = self._due
         self._timer = self._host.wheel.call_at(self._due, self._time_up)
 
+    def expect_within(self, seconds: float) -> None:
+        """So long from now is given for a request that has not begun to come."""
+        if self._phase is READING and not self.in_message:
+            self._wait_for(seconds)
+
     def _time_up(self) -> None:
         self._timer = None
         if self._phase is WAITING:
@@ -304,7 +310,10 @@
         self._phase = WAITING
         if arrival is None:
             status = 503 if host.draining else 200
-            self.finish(Answer(status, TEXT, b"draining\n" if status == 503 else b"ok\n"))
+            self.finish(Answer(status, TEXT, f"{host.state}\n".encode() if status == 503 else b"ok\n"))
+            return
+        if host.refusing:
+            self.finish(refused(host.refusal_ns))
             return
         if host.gate is not None and (hold_off_ns := host.gate.admit(self, arrival.tenant)):
             self.surplus = True
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -7,15 +7,16 @@
 import enum
 import logging
 import socket
-import time
 from collections import Counter
+from collections.abc import Iterable
 from itertools import islice
 
 from covetally.interface import SECOND, Settings
 from covetally.net.budget import BodyBudget
 from covetally.net.client import HALF_SENT_S, Client
 from covetally.net.closing import CloseReason
-from covetally.net.eviction import EvictionOrder
+from covetally.net.drain_stage import DrainStage, Stage
+from covetally.net.eviction import NEWCOMER_S, EvictionOrder
 from covetally.net.heads import Heads
 from covetally.net.ids import RecentIds
 from covetally.net.invariants import Invariant
@@ -24,6 +25,7 @@
 from covetally.net.sidecar import Sidecar
 from covetally.net.stream import tcp_info
 from covetally.net.system_errors import NEXT_ACCEPT
+from covetally.net.turns import Turns
 
 log = logging.getLogger(__name__)
 
@@ -33,8 +35,6 @@
 RECEIVE_BUFFER = 64 * 1024  # kernel's, for each connection: what lies there unread is already taken
 REST_SHARE = 1 / 4  # of the connections may rest between requests at a time
 LOOKS = 8  # at so many resting connections at a time, for one that may be closed
-PROMPT_NS = 6_000_000  # what has lain here no longer is read at once,
-TURN_S = 0.01  # and the rest for so long between two looks at the sockets
 
 
 def bound(address: tuple[str, int], backlog: int = 4096) -> socket.socket:
@@ -65,14 +65,6 @@
 ACCEPTED, NONE_WAITING, NO_ROOM, FAILED = AcceptResult
 
 
-class Stage(enum.Enum):
-    """What clients are told of this process. It goes from ENDING to no other."""
-
-    SERVING = enum.auto()
-    RESTING = enum.auto()  # by an operator: stay away; whatever comes is served all the same
-    ENDING = enum.auto()
-
-
 class Frontend:
     """Lets clients in under a budget of descriptors and sees each connection through."""
 
@@ -80,7 +72,8 @@
         self.sidecar = sidecar
         self.wheel = sidecar.wheel
         self.budget = BodyBudget(body_memory)
-        self._enter(Stage.SERVING)
+        self._drain = DrainStage()
+        self._drain_timer: asyncio.TimerHandle | None = None  # for the next stage of a drain by order
         self.closed: Counter[CloseReason] = Counter()  # connections, by why
         self.gate: Gate | None = None  # caps on tenants' connections, where there are any
         self.retune(settings, limit, body_memory)
@@ -94,11 +87,13 @@
         self._drained = asyncio.Event()
         self.shed = 0  # requests refused at a glance, unread
         self.upgrades: Upgrades | None = None
-        self._turns: dict[Client, None] = {}  # have news that has lain here, in the order of its coming
+        self._turns = Turns(sidecar)
 
     def retune(self, settings: Settings, limit: int, body_memory: int) -> None:
         """Keep to these from here on. Connections beyond a lower limit go as they fall idle, none before."""
         self.heads = Heads(settings)
+        self._longest_s = max(cls.deadline_ns for cls in settings.classes) / SECOND
+        self.refusal_ns = settings.limits.max_retry_after_ns if settings.limits.retry_after else 0
         self.budget.resize(body_memory)
         self._limit = limit
         self._rest_limit = max(1, int(limit * REST_SHARE))
@@ -219,51 +214,9 @@
             self._drained.set()
         self._resume()
 
-    # --- whose turn it is -----------------------------------------------------------------------
-
     def due(self, client: Client) -> bool:
-        """Whether a client's news is to be read now; else it is told to go on when its turn comes.
-
-        Guards against a loop that is late and reads all that has come before it looks at the servers' answers:
-        each of those waits behind hundreds of new requests, and comes too late in its turn. So what has lain here
-        is read for TURN_S between two looks at the sockets, in order of its coming; under overload the newest
-        too, since the oldest will be refused. It costs a request that waited a turn of the loop more.
-        """
-        if not self._turns and time.monotonic_ns() - client.stream.received_at < PROMPT_NS:
-            return True
-        if client not in self._turns:
-            self._turns[client] = None
-            if len(self._turns) == 1:
-                asyncio.get_running_loop().call_soon(self._take_turns)
-        return False
-
-    def _take_turns(self) -> None:
-        loop, turns = asyncio.get_running_loop(), self._turns
-        start = at = loop.time()
-        ahead = 0.0  # time spent on the newest, less that on the oldest
-        while turns and at < start + TURN_S:
-            newest = ahead <= 0.0 and self.sidecar.shedding and self._newest_first(turns)
-            client = next(reversed(turns)) if newest else next(iter(turns))
-            del turns[client]
-            try:
-                client.go_on()
-            except Exception:  # a bug costs the connection at hand, and keeps no other from its turn
-                log.exception("a connection failed by a bug")
-                client.close(CloseReason.BUG)
-            now = loop.time()
-            ahead += now - at if newest else at - now
-            at = now
-        if turns:
-            loop.call_soon(self._take_turns)
-
-    def _newest_first(self, turns: dict[Client, None]) -> bool:
-        """Under overload, whether the newest is served before the oldest is refused.
-
-        Refusing alone can take all there is, so the two get the same time, as long as there is one that need not
-        be refused and none has waited for an aim: that one is owed an answer first."""
-        now, old_ns = time.monotonic_ns(), self.sidecar.old_ns
-        oldest, newest = next(iter(turns)).stream.received_at, next(reversed(turns)).stream.received_at
-        return now - newest < old_ns and now - oldest < 4 * old_ns
+        """Whether a client's news is to be read now; else it is told to go on when its turn comes."""
+        return self._turns.due(client)
 
     # --- what connections tell ------------------------------------------------------------------
 
@@ -314,18 +267,70 @@
 
     # --- the end --------------------------------------------------------------------------------
 
-    def _enter(self, stage: Stage) -> None:
-        self._stage = stage
-        self.draining = stage is not Stage.SERVING  # each answer is the last on its connection
+    @property
+    def draining(self) -> bool:
+        """Whether each answer is the last on its connection."""
+        return self._drain.draining
 
-    def rest(self, resting: bool) -> None:
-        """Tell clients to stay away, or to come back: while it rests the sidecar says that it is not ready and
-        closes each connection after its answer, but serves whatever comes all the same."""
-        if self._stage is Stage.ENDING:
-            return
-        self._enter(Stage.RESTING if resting else Stage.SERVING)
-        if resting:
-            self._close_silent(self._order.fresh, self._order.idle)
+    @property
+    def refusing(self) -> bool:
+        """Whether new requests are refused, by an order to drain."""
+        return self._drain.refusing
+
+    @property
+    def state(self) -> str:
+        """serving, draining or drained."""
+        return self._drain.shown
+
+    def drain_by_order(self, within_s: float | None = None) -> None:
+        """Tell clients to stay away, and hold none of their connections and requests after so many seconds, the
+        longest deadline and a margin at least (see `DrainStage`)."""
+        if self._drain.drain(asyncio.get_running_loop().time(), within_s, self._longest_s):
+            self._close_silent_but_newcomers()
+            self._await_stage()
+
+    def start_drained(self) -> None:
+        """Refuse whatever comes from the beginning on, until `resume`."""
+        self._drain.restore()
+
+    def resume(self) -> None:
+        """Serve again."""
+        if self._drain.resume():
+            self._await_stage()
+
+    def _await_stage(self) -> None:
+        if self._drain_timer is not None:
+            self._drain_timer.cancel()
+            self._drain_timer = None
+        log.info("%s, with %d connections", self.state, len(self._clients))
+        due = self._drain.due()
+        if due is not None:
+            self._drain_timer = asyncio.get_running_loop().call_at(due, self._next_stage)
+
+    def _next_stage(self) -> None:
+        if self._drain.advance(asyncio.get_running_loop().time()):
+            self._close_silent_but_newcomers()
+            if self._drain.stage is Stage.DRAINED:
+                self._close_all_but_newcomers()
+        self._await_stage()
+
+    def _close_silent_but_newcomers(self) -> None:
+        """Close who has sent nothing of a request. Whoever has just come is given a moment: a first request that
+        crosses a close is lost, where one on a resting connection is sent again."""
+        now = asyncio.get_running_loop().time()
+        newcomers = [client for client in self._order.fresh if client.since > now - NEWCOMER_S]
+        for client in newcomers:
+            client.expect_within(NEWCOMER_S)
+        self._close_silent(self._order.fresh.keys() - newcomers, self._order.idle)
+
+    def _close_all_but_newcomers(self) -> None:
+        """Close what has outlasted a drain: half a request, an answer that is not taken. Whoever has just come is
+        refused like all that come later."""
+        for client in list(self._clients):
+            if client in self._order.fresh:
+                client.turn_away()
+            else:
+                client.close(CloseReason.SHUTDOWN)
 
     async def drain(self, within_s: float, accept: bool = True) -> None:
         """Finish what was taken, and close all connections within this time. New connections go on coming for a
@@ -333,7 +338,9 @@
         began = asyncio.get_running_loop().time()
         times = times_within(within_s)
         answered_by, closed_by = began + times.answered_s, began + times.closed_s
-        self._enter(Stage.ENDING)
+        self._drain.end()
+        if self._drain_timer is not None:
+            self._drain_timer.cancel()
         self.sidecar.end_by(answered_by)
         # Early: a request that crosses this is sent anew and finds the listener open. Not those that have just
         # come: their first request is on its way.
@@ -387,7 +394,7 @@
                 self.sidecar.violations.report(Invariant.ENDED_OWING, name, "no answer when the process ended")
             client.close(CloseReason.SHUTDOWN, reset=client not in self._order.lingering)
 
-    def _close_silent(self, *groups: dict[Client, None]) -> None:
+    def _close_silent(self, *groups: Iterable[Client]) -> None:
         """Close who has sent nothing of a request."""
         for client in [client for group in groups for client in group]:
             if client.silent():
--- a/covetally/net/host.py
+++ b/covetally/net/host.py
@@ -24,8 +24,20 @@
     heads: Heads
     gate: Gate | None
     upgrades: Upgrades | None
-    draining: bool
     shed: int
+    refusal_ns: int  # after a refusal by order its client may come back no sooner
+
+    @property
+    def draining(self) -> bool:
+        """Whether each answer is the last on its connection."""
+
+    @property
+    def refusing(self) -> bool:
+        """Whether new requests are refused, by an order to drain."""
+
+    @property
+    def state(self) -> str:
+        """serving, draining or drained."""
 
     def due(self, client: Client) -> bool:
         """Whether its news is to be read now; else it is told to `go_on` later."""
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -100,8 +100,8 @@
 
     @property
     def state(self) -> str:
-        """serving or draining."""
-        return "draining" if self.frontend.draining else "serving"
+        """serving, draining or drained."""
+        return self.frontend.state
 
     @property
     def ending(self) -> bool:
@@ -114,9 +114,17 @@
 
         return Gauges(self)
 
-    def rest(self, resting: bool) -> None:
-        """Tell clients to stay away, or to come back."""
-        self.frontend.rest(resting)
+    def drain(self, within_s: float | None) -> None:
+        """Tell clients to stay away, and hold none of them after so many seconds."""
+        self.frontend.drain_by_order(within_s)
+
+    def resume(self) -> None:
+        """Let clients come back."""
+        self.frontend.resume()
+
+    def start_drained(self) -> None:
+        """Refuse clients from the start on, until `resume`."""
+        self.frontend.start_drained()
 
     def end(self) -> None:
         """Drain and end."""
@@ -187,6 +195,8 @@
             self.roster.recall(known)
             self.roster.start()
             await self.roster.first()
+        if self.manager is not None:
+            self.manager.restore_orders()
         if self.member is not None:
             self.address = self.frontend.adopt(self.member.listener, self.member.claims)
         else:
@@ -301,6 +311,8 @@
             self.roster = self._made(plan)
             self.roster.begin(self.upstream.roster(), {b.server for b in self.sidecar.beliefs() if b.up})
             self.roster.start()
+            if self.manager is not None:
+                self.roster.order(self.manager.orders.roster.value)
         elif self.roster is not None:
             self.roster.stop()
             self.roster = self.sidecar.on_outcome = None
--- a/covetally/rig/load.py
+++ b/covetally/rig/load.py
@@ -18,6 +18,7 @@
 from covetally.rig.wire import Message, Wire, request
 
 Address = tuple[str, int]
+PERSIST_S = 0.005  # a client that asks on and on rests so long: also where nobody listens
 WAIT_OVER_S = 1.5  # a client waits so much longer than its time: then the answer is missing, not late
 
 
@@ -146,6 +147,18 @@
             for wire in pool.idle:
                 wire.close()
 
+    async def persist(self, instance: str, until: float) -> None:
+        """One more client, which asks again as soon as it has its answer, on its connection for as long as that
+        stays open and else on a new one, until a moment on the loop's clock."""
+        loop = asyncio.get_running_loop()
+        names, shares = list(self._plan.tenants), list(self._plan.tenants.values())
+        while loop.time() < until:
+            cls = self._random.choice(self._plan.classes)
+            tenant = self._random.choices(names, shares)[0]
+            key = f"m{self._random.randrange(self._plan.keys)}"
+            await self._chain(Planned(0.0, cls, tenant, key, instance), next(self._ids))
+            await asyncio.sleep(PERSIST_S)
+
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/covetally/rig/soak.py
+++ b/covetally/rig/soak.py
@@ -32,6 +32,16 @@
 RATE = 12.0  # requests a second at each sidecar
 SETTLE_S = 3.0  # after the last fault, before the end
 READY_S = 10.0
+PERSISTENT = 4  # clients that ask on and on at a sidecar which is told to end
+CROWD = 400  # idle connections at once; a sidecar of the rig has places for 256 clients
+CROWD_SHARE = 0.5  # of the runs have crowds
+# Signals in a row, the last of which is SIGTERM or follows it; a stopped process goes on shortly.
+SERIES = (
+    (signal.SIGTERM,), (signal.SIGTERM,), (signal.SIGTERM, signal.SIGTERM), (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP), (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT),
+    (signal.SIGSTOP, signal.SIGTERM, signal.SIGCONT),
+)  # fmt: skip
+BETWEEN_S = 0.03  # two signals of a series, at most
 TROUBLE = re.compile(r"Traceback|violation [a-z]|by a bug|the module failed")
 
 
@@ -75,6 +85,7 @@
         self._shape = shape
         self._scale = self._rng.choice(DEADLINE_SCALES)
         self._pushed = self._rng.random() < 0.7
+        self._crowds = self._rng.random() < CROWD_SHARE
         self._busy: set[str] = set()  # instances and nodes to which something is being done
         self._tasks: set[asyncio.Task[None]] = set()
         self.report = SoakReport(seed, self._scale)
@@ -92,7 +103,8 @@
                 self._shape.seconds + SETTLE_S, seed=self.report.seed,
             )  # fmt: skip
             addresses = {name: instance.address for name, instance in world.instances.items()}
-            load = asyncio.create_task(Load(world.account, addresses, plan, world.alive).play(plan.draw()))
+            self._load = Load(world.account, addresses, plan, world.alive)
+            load = asyncio.create_task(self._load.play(plan.draw()))
             await self._trouble()
             while self._tasks:
                 await asyncio.wait(self._tasks)
@@ -146,6 +158,8 @@
             self._hold_up, self._mood, self._mood, self._mood, self._kill_node, self._drain_node, self._discovery,
             self._link, self._link,
         ]  # fmt: skip
+        if self._crowds:
+            events += [self._crowd, self._crowd]
         end = time.monotonic() + self._shape.seconds
         while time.monotonic() < end:
             event = self._rng.choice(events)
@@ -177,20 +191,47 @@
         await self._start(name)
 
     async def _terminate(self, name: str) -> None:
+        """Signals in a row, SIGTERM among them, under clients that ask on and on until SIGKILL may come."""
         process = self._world.instances[name].process
         assert process is not None
-        began = time.monotonic()
-        process.send_signal(signal.SIGTERM)
+        until = asyncio.get_running_loop().time() + BETWEEN_S + self._kill_after_s
+        clients = [asyncio.create_task(self._load.persist(name, until)) for _ in range(PERSISTENT)]
+        await asyncio.sleep(self._rng.uniform(0.0, BETWEEN_S))
+        told_at = await self._signal(process, self._rng.choice(SERIES))
         try:
-            async with asyncio.timeout(self._kill_after_s):
+            async with asyncio.timeout_at(told_at + self._kill_after_s):
                 status = await process.wait()
-            self.report.ends.append(time.monotonic() - began)
+            self.report.ends.append(asyncio.get_running_loop().time() - told_at)
             if status != 0:
                 self.report.broken.append(f"{name} ended with {status} after SIGTERM")
         except TimeoutError:
             process.kill()
             await process.wait()
             self.report.broken.append(f"{name} was still there {self._kill_after_s:.1f} s after SIGTERM")
+        await asyncio.gather(*clients)
+
+    async def _signal(self, process: asyncio.subprocess.Process, series: tuple[signal.Signals, ...]) -> float:
+        """Send them; when the first SIGTERM was sent, on the loop's clock."""
+        told_at: list[float] = []
+        for number in series:
+            if process.returncode is not None:
+                break
+            process.send_signal(number)
+            if number is signal.SIGTERM:
+                told_at.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(self._rng.uniform(0.0, BETWEEN_S))
+        return told_at[0]
+
+    async def _crowd(self) -> None:
+        """Idle connections that come at once, and go later."""
+        name = self._rng.choice(list(self._world.instances))
+        address = self._world.instances[name].address
+        connecting = [asyncio.open_connection(*address) for _ in range(CROWD)]
+        found = await asyncio.gather(*connecting, return_exceptions=True)
+        await asyncio.sleep(self._rng.uniform(0.5, 2.0))
+        for one in found:
+            if not isinstance(one, BaseException):
+                one[1].transport.abort()
 
     async def _start(self, name: str) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, 1.0))
--- a/covetally/workers/member.py
+++ b/covetally/workers/member.py
@@ -94,8 +94,10 @@
         self._process = process = Process(configuration, member)
         self._gauges = process.gauges()
         process.on_ready = self._up
-        if first["resting"]:
-            process.rest(True)
+        if first["drained"]:
+            process.start_drained()
+        if first["order"] == "hold":
+            self._early.append({"t": "order", "what": first["order"]})
         await process.run()
 
     def _up(self) -> None:
@@ -139,8 +141,10 @@
                     log.error("%s: the old configuration stays", error)
             case "reload":
                 process.reload()
-            case "rest":
-                process.rest(message["resting"])
+            case "drain":
+                process.drain(message["within_s"])
+            case "resume":
+                process.resume()
             case "order":
                 process.order(message["what"])
             case "end":
--- a/covetally/workers/supervisor.py
+++ b/covetally/workers/supervisor.py
@@ -60,7 +60,7 @@
         self._crew = Crew(self._count(), self._hang_s(), configuration.shutdown.closed_s + END_SPARE_S)
         self._children: dict[int, _Child] = {}
         self.tally = merge.Tally()
-        self._resting = False
+        self._drained = False  # by an operator's order, from now on or in time
         self._stop = asyncio.Event()
         self._idle = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
@@ -95,6 +95,8 @@
         signals.on(signal.SIGHUP, self.reload)
         signals.on(signal.SIGUSR2, self.replace)
         self._listener = await self._bound()
+        if self.manager is not None:
+            self.manager.restore_orders()
         self._do(self._crew.tick(self._now))
         if self.manager is not None:
             self.manager.start()
@@ -190,8 +192,9 @@
         self._children[number] = child = _Child(place, process, channel)
         await channel.open(ours)
         channel.send(
-            "begin", place=place, count=self._crew.count, values=self.configuration.managed, resting=self._resting
-        )
+            "begin", place=place, count=self._crew.count, values=self.configuration.managed,
+            drained=self._drained, order=self.manager.orders.roster.value if self.manager is not None else "",
+        )  # fmt: skip
         if self._crew.ending:
             channel.send("end", whole=True)
         status = await process.wait()
@@ -257,8 +260,11 @@
 
     @property
     def state(self) -> str:
-        """serving or draining."""
-        return "draining" if self._resting or self.ending else "serving"
+        """serving, draining or drained: the last that the workers have told."""
+        if self.ending or not self._drained:
+            return "draining" if self.ending else "serving"
+        told = [child.beat.get("state") for child in self._children.values() if child.beat]
+        return "drained" if told and all(state == "drained" for state in told) else "draining"
 
     @property
     def ending(self) -> bool:
@@ -275,10 +281,19 @@
         self._tell("manage", values=values)
         self._resize()
 
-    def rest(self, resting: bool) -> None:
-        """Tell clients to stay away, or to come back."""
-        self._resting = resting
-        self._tell("rest", resting=resting)
+    def drain(self, within_s: float | None) -> None:
+        """Tell clients to stay away, and hold none of them after so many seconds."""
+        self._drained = True
+        self._tell("drain", within_s=within_s)
+
+    def resume(self) -> None:
+        """Let clients come back."""
+        self._drained = False
+        self._tell("resume")
+
+    def start_drained(self) -> None:
+        """Refuse clients from the start on, until `resume`."""
+        self._drained = True
 
     def end(self) -> None:
         """Drain and end."""
--- a/tests/control/test_taking.py
+++ b/tests/control/test_taking.py
@@ -11,6 +11,8 @@
 from hypothesis import strategies as st
 
 from covetally.control import keep, taking
+from covetally.control.keep import Kept
+from covetally.control.orders import Orders
 from covetally.control.protocol import Decoder, ProtocolError, digest, encode, pick_version
 from covetally.control.redial import Redial
 from covetally.control.taking import Held, Memory, Step
@@ -21,6 +23,7 @@
 
 
 ONE, TWO = held(1, a=1), held(2, a=2)
+DRAINED = Orders(7, draining=True)
 PROBLEM = {"key": "a", "value": 9, "reason": "will not do", "remedy": ""}
 
 
@@ -125,12 +128,12 @@
 
 def test_a_write_that_was_cut_off_leaves_what_was_there(tmp_path):
     path = tmp_path / "keep.json"
-    assert keep.read(path) == Memory()
-    keep.write(path, Memory(good=ONE))
+    assert keep.read(path) == Kept()
+    keep.write(path, Kept(Memory(good=ONE), DRAINED))
     (tmp_path / "keep.json.new").write_text('{"format": 1, "goo')
-    assert keep.read(path) == Memory(good=ONE)
-    keep.write(path, Memory(good=ONE, trial=TWO))
-    assert keep.read(path).in_force == TWO
+    assert keep.read(path) == Kept(Memory(good=ONE), DRAINED)
+    keep.write(path, Kept(Memory(good=ONE, trial=TWO)))
+    assert keep.read(path).memory.in_force == TWO
 
 
 @pytest.mark.parametrize(
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -256,7 +256,7 @@
 
 def test_a_request_whose_turn_comes_late_is_not_sent_on_for_a_client_that_left(monkeypatch):
     """What has lain here waits for its turn, and its client may leave meanwhile."""
-    monkeypatch.setattr("covetally.net.frontend.PROMPT_NS", -1)
+    monkeypatch.setattr("covetally.net.turns.PROMPT_NS", -1)
     monkeypatch.setattr("covetally.net.client.LOOK_NS", 0)
 
     async def main():
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -13,6 +13,7 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
+from covetally.control.orders import Orders
 from covetally.control.protocol import digest
 from covetally.fleet.agent import Agent
 from covetally.fleet.refused import Refused
@@ -45,8 +46,8 @@
         self.denied = self.agent.admit(self, self.hello)
         return self
 
-    def welcome(self) -> None:
-        pass
+    def welcome(self, orders: Orders) -> None:
+        self.orders = orders
 
     def deny(self, reason: str) -> None:
         self.denied = reason
--- a/tests/incidents/test_guards.py
+++ b/tests/incidents/test_guards.py
@@ -104,7 +104,7 @@
             held = await here.connect()
             draining = asyncio.create_task(here.frontend.drain(2.0))
             await asyncio.sleep(0)
-            here.frontend.rest(False)
+            here.frontend.resume()
             held[1].write(request("late"))
             assert b"connection: close" in (await held[0].readuntil(b"\r\n\r\n")).lower()
             held[1].close()
--- a/tests/incidents/test_orders.py
+++ b/tests/incidents/test_orders.py
@@ -81,22 +81,29 @@
 
 
 async def keep_asking(address: tuple[str, int], number: int, answers: list[bytes], missing: list[str]) -> None:
-    """Ask on one connection for as long as it stays open, then on another, and so on, until cancelled."""
+    """Ask on one connection for as long as it stays open, then on another, and so on, until cancelled. A request
+    that crosses the close of a resting connection is sent once more on a new one, as the protocol has it."""
     turn = 0
+    again = ""
     while True:
         reader, writer = await asyncio.open_connection(*address)
         with contextlib.closing(writer):
-            closed = False
-            while not closed:
+            fresh = True
+            while True:
                 turn += 1
-                name = f"c{number}-{turn}"
+                name, again = again or f"c{number}-{turn}", ""
                 writer.write(get(name))
                 try:
                     answers.append(await read_message(reader))
                 except (asyncio.IncompleteReadError, ConnectionError):
-                    missing.append(name)
+                    if fresh:
+                        missing.append(name)
+                    else:
+                        again = name
                     break
-                closed = b"connection: close" in answers[-1].lower()
+                if b"connection: close" in answers[-1].lower():
+                    break
+                fresh = False
                 await asyncio.sleep(0.02)
 
 
