--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	$(BIN)/cindersail demo
 
 test: .venv/ready
+	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/lint-imports contracts.ini --no-cache
 	$(BIN)/python -m pytest -n 4 --dist worksteal -rxX
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -150,7 +150,12 @@
         self.process, self.address, self.tree, self.log = process, address, tree, log
 
     async def ask(
-        self, rate: float, seconds: float, connections: int, method: str = "GET", kind: str = "kept",
+        self,
+        rate: float,
+        seconds: float,
+        connections: int,
+        method: str = "GET",
+        kind: str = "kept",
         clients: int = 3,
     ) -> dict[str, float]:
         """Ask it, by client processes of their own; what it cost and how it fared."""
--- a/benchmarks/tier.py
+++ b/benchmarks/tier.py
@@ -53,6 +53,5 @@
     show(f"who is there, the worst of {seeds} seeds", rows, as_json)
 
 
-
 if __name__ == "__main__":
     main()
--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -54,8 +54,7 @@
                 rows[f"{count} workers, turn {turn + 1}"] = text = (
                     f"{got['rate']:.0f}/s, {each_us:.0f} us a request, p50 {got['p50']:.1f}, "
                     f"p99 {got['p99']:.1f} ms, refused {got['refused']:.2%}, other {got['other']:.2%}; "
-                    "workers' cores "
-                    + ", ".join(f"{share:.0%}" for share in busy)
+                    "workers' cores " + ", ".join(f"{share:.0%}" for share in busy)
                 )
                 progress(f"{count} workers: {text}")
         for count in COUNTS[1:]:
--- a/covetally/caps/holder.py
+++ b/covetally/caps/holder.py
@@ -195,5 +195,8 @@
 
     def table(self, now: int) -> dict[str, object]:
         """For operators."""
-        return {"held": self.held(now), "needs": self.needs,
-                "of": {home: loan.held for home, loan in self._loans.items() if loan.held}}
+        return {
+            "held": self.held(now),
+            "needs": self.needs,
+            "of": {home: loan.held for home, loan in self._loans.items() if loan.held},
+        }
--- a/covetally/caps/messages.py
+++ b/covetally/caps/messages.py
@@ -1,15 +1,15 @@
 """What a holder and a home of a cap's units tell each other, as the body of a frame. Big-endian.
 
-    bytes  ask: 1, grant: 2, recall: 3, query: 4
-    1      which
-    4      mark of the cap
-    4      number of the ask (grant: of the ask that it answers)
-    4      grant, recall, query: the home's life
-    2      ask: units held of this home      grant: units lent in all      recall: units to give back
-    2      ask: units wanted besides         grant: ask again after so many 10 ms, if more is wanted
-                                             recall: 1 where busy ones go too
-    2      ask: units that rest              -
-    2      ask: for how long, 100 ms each    -
+bytes  ask: 1, grant: 2, recall: 3, query: 4
+1      which
+4      mark of the cap
+4      number of the ask (grant: of the ask that it answers)
+4      grant, recall, query: the home's life
+2      ask: units held of this home      grant: units lent in all      recall: units to give back
+2      ask: units wanted besides         grant: ask again after so many 10 ms, if more is wanted
+                                         recall: 1 where busy ones go too
+2      ask: units that rest              -
+2      ask: for how long, 100 ms each    -
 """
 
 from __future__ import annotations
--- a/covetally/cli/agent.py
+++ b/covetally/cli/agent.py
@@ -29,8 +29,14 @@
 @click.option("--tokens", type=click.Path(path_type=Path), help="Lines of NAME RIGHT TOKEN.")
 @click.option("--supervise", type=click.Path(path_type=Path), help="Instances to start and keep running.")
 @click.option("--stop-instances", is_flag=True, help="At the end stop the supervised instances too.")
-@click.option("--recover", "recover_s", type=click.FloatRange(0, 3600), default=10.0, show_default=True,
-              help="With a new store, listen so long for what instances have.")
+@click.option(
+    "--recover",
+    "recover_s",
+    type=click.FloatRange(0, 3600),
+    default=10.0,
+    show_default=True,
+    help="With a new store, listen so long for what instances have.",
+)
 @click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
 def agent(
     state: Path, listen: str | None, listen_instances: str | None, tokens: Path | None, supervise: Path | None,
--- a/covetally/cli/drain.py
+++ b/covetally/cli/drain.py
@@ -17,8 +17,13 @@
 
 @click.group(invoke_without_command=True)
 @SELECTOR
-@click.option("--within", "within_s", type=click.FloatRange(0), metavar="S",
-              help="Hold no connection and no request after so long.  [the longest deadline and 0.5 s]")
+@click.option(
+    "--within",
+    "within_s",
+    type=click.FloatRange(0),
+    metavar="S",
+    help="Hold no connection and no request after so long.  [the longest deadline and 0.5 s]",
+)
 @connected
 def drain(where: Target, selector: str, within_s: float | None, as_json: bool) -> None:
     """Let instances tell their clients to stay away, until `resume`; or, with a command, drain under floors.
@@ -53,19 +58,43 @@
 def _ordered(command: Callable[..., Any]) -> Callable[..., Any]:
     """Adds the options of an order; the command gets `order`."""
 
-    @click.option("--what", type=click.Choice(["restart", "drain"]), default="restart", show_default=True,
-                  help="What is done to each; who is drained stays out until it is resumed.")
-    @click.option("--floor", "floors", multiple=True, metavar="ZONE=N[%]",
-                  help="The least that stays in: of a zone, of each, or of all.  [each=50%]")
-    @click.option("--after-loss", type=click.FloatRange(0), default=0.0,
-                  help="The least that stays in besides whichever zone is lost next.")
+    @click.option(
+        "--what",
+        type=click.Choice(["restart", "drain"]),
+        default="restart",
+        show_default=True,
+        help="What is done to each; who is drained stays out until it is resumed.",
+    )
+    @click.option(
+        "--floor",
+        "floors",
+        multiple=True,
+        metavar="ZONE=N[%]",
+        help="The least that stays in: of a zone, of each, or of all.  [each=50%]",
+    )
+    @click.option(
+        "--after-loss",
+        type=click.FloatRange(0),
+        default=0.0,
+        help="The least that stays in besides whichever zone is lost next.",
+    )
     @click.option("--drain-s", type=click.FloatRange(0), default=5.0, show_default=True)
     @click.option("--return-s", type=click.FloatRange(0), default=10.0, show_default=True)
-    @click.option("--warm-s", type=click.FloatRange(0), default=0.0, show_default=True,
-                  help="Until one that is back counts whole.")
+    @click.option(
+        "--warm-s",
+        type=click.FloatRange(0),
+        default=0.0,
+        show_default=True,
+        help="Until one that is back counts whole.",
+    )
     @functools.wraps(command)
     def wrapped(
-        what: str, floors: tuple[str, ...], after_loss: float, drain_s: float, return_s: float, warm_s: float,
+        what: str,
+        floors: tuple[str, ...],
+        after_loss: float,
+        drain_s: float,
+        return_s: float,
+        warm_s: float,
         **more: Any,
     ) -> Any:
         order = {
--- a/covetally/cli/shared.py
+++ b/covetally/cli/shared.py
@@ -23,10 +23,20 @@
 def connected(command: Callable[..., Any]) -> Callable[..., Any]:
     """Adds --agent, --token-file and --json; the command gets `where` and `as_json`."""
 
-    @click.option("--agent", envvar="CINDERSAIL_AGENT", default=client.default_agent, metavar="ADDRESS",
-                  help="unix:/PATH or http://HOST:PORT; default: the agent of this user on this machine.")
-    @click.option("--token-file", envvar="CINDERSAIL_TOKEN_FILE", metavar="FILE",
-                  type=click.Path(path_type=Path), help="Its first line is the token told to the agent.")
+    @click.option(
+        "--agent",
+        envvar="CINDERSAIL_AGENT",
+        default=client.default_agent,
+        metavar="ADDRESS",
+        help="unix:/PATH or http://HOST:PORT; default: the agent of this user on this machine.",
+    )
+    @click.option(
+        "--token-file",
+        envvar="CINDERSAIL_TOKEN_FILE",
+        metavar="FILE",
+        type=click.Path(path_type=Path),
+        help="Its first line is the token told to the agent.",
+    )
     @click.option("--json", "as_json", is_flag=True, help="For machines.")
     @wraps(command)
     def wrapped(agent: str, token_file: Path | None, **more: Any) -> Any:
--- a/covetally/configuration.py
+++ b/covetally/configuration.py
@@ -65,9 +65,7 @@
     """The three layers and what they make, `config`. ConfigError at the start if they cannot be used; later a bad
     layer changes nothing. `shape` makes of the whole what this process is to have of it: a worker, its share."""
 
-    def __init__(
-        self, env: Mapping[str, str], operator: str | None, shape: Shape | None = None
-    ) -> None:
+    def __init__(self, env: Mapping[str, str], operator: str | None, shape: Shape | None = None) -> None:
         self._env, self._operator, self._shape = env, operator, shape or Whole()
         self.platform = load(env)
         self.own = self._read_operator()
--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -249,9 +249,7 @@
                 self._send({"t": "answer", "id": message["id"]} | await self._asked(message))
             case "do":
                 problem = self._behind(message) or await self._done(message)
-                self._send(
-                    {"t": "answer", "id": message["id"], "error": problem, "state": self._instance.state}
-                )
+                self._send({"t": "answer", "id": message["id"], "error": problem, "state": self._instance.state})
 
     async def _asked(self, message: Message) -> dict[str, Any]:
         what = message["what"]
--- a/covetally/drainplan/run.py
+++ b/covetally/drainplan/run.py
@@ -1,15 +1,15 @@
 """One drain order under way: what is done next. No I/O; whoever carries it out writes down what it says first.
 
-    state    what goes on                                            ends in
-    -----    ------------                                            -------
-    going    waves, planned anew from what is in before each one     done, waiting, halted
-    waiting  nothing new: a floor lacks, the overload line is up,    going, halted
-             a unit of the wave before has not come back, or contact
-             with too many is lost
-    halted   nothing new, by an operator or by itself; who is out    going (resume)
-             comes back by itself and is waited for
-    back     as halted, and what has not gone yet never goes         done
-    done     all are back, or were written off
+state    what goes on                                            ends in
+-----    ------------                                            -------
+going    waves, planned anew from what is in before each one     done, waiting, halted
+waiting  nothing new: a floor lacks, the overload line is up,    going, halted
+         a unit of the wave before has not come back, or contact
+         with too many is lost
+halted   nothing new, by an operator or by itself; who is out    going (resume)
+         comes back by itself and is waited for
+back     as halted, and what has not gone yet never goes         done
+done     all are back, or were written off
 """
 
 from __future__ import annotations
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -879,4 +879,3 @@
             "active_rollouts": [r.rollout.number for r in active], "recovered": self.recovered,
             "recovering": self._recovering(), "supervised": self.supervised(),
         }  # fmt: skip
-
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -107,6 +107,7 @@
         raise Refused("bad_input", "the body is no JSON object")
     return body
 
+
 MAX_WITHIN_S = 86_400  # a day
 
 
@@ -121,8 +122,15 @@
     """Floors from their JSON: [zone, "all" or "each", figure, whether it is a share]."""
     found = []
     for row in rows:
-        if not (isinstance(row, list) and len(row) == 3 and isinstance(row[0], str) and isinstance(row[2], bool)
-                and isinstance(row[1], int | float) and not isinstance(row[1], bool) and 0 <= row[1] < 1e9):
+        if not (
+            isinstance(row, list)
+            and len(row) == 3
+            and isinstance(row[0], str)
+            and isinstance(row[2], bool)
+            and isinstance(row[1], int | float)
+            and not isinstance(row[1], bool)
+            and 0 <= row[1] < 1e9
+        ):
             raise Refused("bad_input", f"floors: {row!r:.60} is not [zone, figure, whether it is a share]")
         found.append((row[0], float(row[1]), row[2]))
     return tuple(found)
--- a/covetally/fleet/asks.py
+++ b/covetally/fleet/asks.py
@@ -87,9 +87,7 @@
             self._orders.withdraw(name, self._orders.of(name), before, "agent", self._clock.now())
             return str(error)
 
-    async def _order(
-        self, instance: Instance, word: str, who: str, within_s: float | None, **more: Any
-    ) -> str:
+    async def _order(self, instance: Instance, word: str, who: str, within_s: float | None, **more: Any) -> str:
         """Keep a state and tell it; as `_told`. What the instance refuses is not wanted any more."""
         name, before = instance.name, self._orders.of(instance.name)
         wanted = self._orders.order(name, word, who, self._clock.now(), within_s)
--- a/covetally/fleet/keeping.py
+++ b/covetally/fleet/keeping.py
@@ -1,8 +1,8 @@
 """Decides when a supervised process is started again. No I/O: what happened and the time in, a decision out.
 
-    running --ends--> waiting (1, 2, 4 ... 60 s) --time--> running
-    running --ends on purpose--> waiting (0 s)
-    five ends in a row, each within 10 s of its start: named a crash loop, started again every 60 s all the same
+running --ends--> waiting (1, 2, 4 ... 60 s) --time--> running
+running --ends on purpose--> waiting (0 s)
+five ends in a row, each within 10 s of its start: named a crash loop, started again every 60 s all the same
 """
 
 from __future__ import annotations
--- a/covetally/fleet/orders.py
+++ b/covetally/fleet/orders.py
@@ -1,10 +1,10 @@
 """What operators have ordered of each instance: desired state, kept in the store, compared with what is reported.
 
-    an order is given        written with the next revision, then sent; acknowledged once it is written
-    the instance refuses     what was ordered before is desired again, under a further revision
-    the instance is away     the order is kept, and goes with the welcome when it comes
-    it reports a lower       it is sent the state again
-    it reports a higher      the store was lost or put back: its state is desired from now on
+an order is given        written with the next revision, then sent; acknowledged once it is written
+the instance refuses     what was ordered before is desired again, under a further revision
+the instance is away     the order is kept, and goes with the welcome when it comes
+it reports a lower       it is sent the state again
+it reports a higher      the store was lost or put back: its state is desired from now on
 """
 
 from __future__ import annotations
--- a/covetally/fleet/store.py
+++ b/covetally/fleet/store.py
@@ -103,9 +103,7 @@
             self._db.execute("PRAGMA synchronous=FULL")
             if not self._db.execute("SELECT 1 FROM sqlite_master WHERE name='meta'").fetchone():
                 self.new = True
-                self._db.executescript(
-                    f"BEGIN;{_SCHEMA}INSERT INTO meta VALUES ('format', '{FORMAT}');COMMIT;"
-                )
+                self._db.executescript(f"BEGIN;{_SCHEMA}INSERT INTO meta VALUES ('format', '{FORMAT}');COMMIT;")
             (found,) = self._db.execute("SELECT value FROM meta WHERE key='format'").fetchone()
         except (sqlite3.Error, TypeError) as error:
             raise StoreError(f"{path}: {error}") from None
--- a/covetally/lab/fleet.py
+++ b/covetally/lab/fleet.py
@@ -292,7 +292,7 @@
     def __init__(self, fleet: Fleet, sidecar: LabSidecar, cls: ClassLoad, origin: int) -> None:
         self.fleet, self.sidecar, self.cls, self.origin, self.turn = fleet, sidecar, cls, origin, 0
         rng, plan, rule = fleet.rng, fleet.plan, fleet.settings.classes[cls.number]
-        self.work = int(cls.work_ms * MS * rng.lognormvariate(-plan.spread**2 / 2, plan.spread))
+        self.work = int(cls.work_ms * MS * rng.lognormvariate(-(plan.spread**2) / 2, plan.spread))
         self.due, self.end = fleet.now, fleet.now + rule.deadline_ns
         self.tenant = rng.choices(range(len(fleet.tenants)), fleet.tenants)[0] if fleet.tenants else 0
         fleet.books.note(fleet.now, "asked", cls.number)
--- a/covetally/lab/tier.py
+++ b/covetally/lab/tier.py
@@ -153,9 +153,7 @@
         self.links: dict[tuple[int, int], Link] = {}
         self._site, self._watch = site, watch
         clocks = random.Random(seed)
-        self._clock = {
-            n: (1.0 + clocks.uniform(-DRIFT / 2, DRIFT / 2), n * 3600 * SECOND) for n in range(size)
-        }
+        self._clock = {n: (1.0 + clocks.uniform(-DRIFT / 2, DRIFT / 2), n * 3600 * SECOND) for n in range(size)}
         super().__init__(size, seed)
 
     def time(self, number: int) -> int:
--- a/covetally/lab/verdicts.py
+++ b/covetally/lab/verdicts.py
@@ -100,4 +100,3 @@
         self.calls[member, name] += 1
         self.failed[member, name] += how is not How.OK
         self.tier.outcome(member, name, how, cls)
-
--- a/covetally/lab/ways.py
+++ b/covetally/lab/ways.py
@@ -1,9 +1,9 @@
 """The two other ways of holding a limit that were weighed, under the same schedules: a plain model of each.
 
-    fixed    each member has amount / n, always
-    merged   each member tells all what it uses, ten times a second; it may use what the others are not known to
-             use, in proportion to what it wants of all that is wanted. Who was not heard of for two seconds is
-             taken to use nothing
+fixed    each member has amount / n, always
+merged   each member tells all what it uses, ten times a second; it may use what the others are not known to
+         use, in proportion to what it wants of all that is wanted. Who was not heard of for two seconds is
+         taken to use nothing
 """
 
 from __future__ import annotations
--- a/covetally/membership/belief.py
+++ b/covetally/membership/belief.py
@@ -286,9 +286,7 @@
         lifecycle = "up" if node.member.state == UP else "draining"
         return Told(node.member, lifecycle, node.started_ns)
 
-    def _drop(
-        self, name: str, told: dict[str, Told], succeeded: bool = False, doubted: bool = False
-    ) -> None:
+    def _drop(self, name: str, told: dict[str, Told], succeeded: bool = False, doubted: bool = False) -> None:
         node = self.nodes.pop(name)
         self.counts["dropped"] += 1
         if not succeeded:
--- a/covetally/membership/eureka/client.py
+++ b/covetally/membership/eureka/client.py
@@ -61,9 +61,7 @@
         self._task: asyncio.Task[None] | None = None
         self._failing = ""
         self._nameless: list[str] = []
-        self.counts = dict.fromkeys(
-            ("full", "delta", "witness", "misfits", "failures", "bytes", "not_listed"), 0
-        )
+        self.counts = dict.fromkeys(("full", "delta", "witness", "misfits", "failures", "bytes", "not_listed"), 0)
 
     def start(self) -> None:
         """Ask from now on."""
--- a/covetally/membership/file.py
+++ b/covetally/membership/file.py
@@ -1,10 +1,10 @@
 """A file as a source of nodes: TOML, read again when it changes.
 
-    [[node]]
-    id = "n1"
-    address = "10.1.0.18:3000"      # an IPv6 address in brackets
-    state = "up"                    # up, leaving, starting, down
-    zone = "milano-lambrate"        # and machine_type, cell, weight, started_ms: all optional
+[[node]]
+id = "n1"
+address = "10.1.0.18:3000"      # an IPv6 address in brackets
+state = "up"                    # up, leaving, starting, down
+zone = "milano-lambrate"        # and machine_type, cell, weight, started_ms: all optional
 """
 
 from __future__ import annotations
--- a/covetally/membership/roster.py
+++ b/covetally/membership/roster.py
@@ -303,4 +303,3 @@
 
 def _index(names: tuple[str, ...], name: str) -> int:
     return names.index(name) if name in names else len(names)
-
--- a/covetally/net/asking.py
+++ b/covetally/net/asking.py
@@ -63,4 +63,3 @@
 def noticed_s(way: Call, grace_s: float = GRACE_S) -> float:
     """How long after a call fell silent a new one has gone out, at the latest."""
     return way.within_s + pause_s(grace_s)
-
--- a/covetally/net/client.py
+++ b/covetally/net/client.py
@@ -1,10 +1,10 @@
 """One connection of the application, and the exchange that is under way on it.
 
-    READING    a request is awaited, or on its way in      -> WAITING when it is whole, WRITING when turned away
-    WAITING    a request was taken: its answer is owed     -> WRITING with the answer, CLOSED if its client leaves
-    WRITING    an answer is on its way out                 -> READING, or LINGERING if it was the last one here
-    LINGERING  the client has its last answer, and may send on: what comes is read and dropped  -> CLOSED
-    CLOSED     the connection has ended
+READING    a request is awaited, or on its way in      -> WAITING when it is whole, WRITING when turned away
+WAITING    a request was taken: its answer is owed     -> WRITING with the answer, CLOSED if its client leaves
+WRITING    an answer is on its way out                 -> READING, or LINGERING if it was the last one here
+LINGERING  the client has its last answer, and may send on: what comes is read and dropped  -> CLOSED
+CLOSED     the connection has ended
 """
 
 from __future__ import annotations
--- a/covetally/net/eviction.py
+++ b/covetally/net/eviction.py
@@ -1,10 +1,10 @@
 """Which client's connection is closed when room is needed for another. No I/O of its own.
 
-    1. one that has had its last answer and lingers
-    2. the oldest that has said nothing yet, once it has had the moment that a request takes to come
-    3. the one that has been idle between requests for longest
-    4. one that takes long to send a request
-    never: one whose request was taken, or whose bytes wait unread
+1. one that has had its last answer and lingers
+2. the oldest that has said nothing yet, once it has had the moment that a request takes to come
+3. the one that has been idle between requests for longest
+4. one that takes long to send a request
+never: one whose request was taken, or whose bytes wait unread
 """
 
 from __future__ import annotations
--- a/covetally/net/server_list.py
+++ b/covetally/net/server_list.py
@@ -13,9 +13,7 @@
 
 LIFECYCLES = {"active": "up", "leaving": "draining", "left": "removed"}
 
-_PREAMBLE = re.compile(
-    r'\s*\{\s*(?:"(?:generation|reset)"\s*:\s*(?:\d+|true|false)\s*,\s*)*"instances"\s*:\s*\['
-)
+_PREAMBLE = re.compile(r'\s*\{\s*(?:"(?:generation|reset)"\s*:\s*(?:\d+|true|false)\s*,\s*)*"instances"\s*:\s*\[')
 _COMMA = re.compile(r"\s*,?\s*")
 
 
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -321,5 +321,3 @@
         if not self._inbox:  # else what came before the end is still to be read
             self._reader.drop()
         return self.sock, early
-
-
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -193,9 +193,7 @@
 
     # --- attempts -------------------------------------------------------------------------------
 
-    def attempt(
-        self, name: str, request: Request, bounds: Bounds, done: Callable[[Outcome], None]
-    ) -> Attempt:
+    def attempt(self, name: str, request: Request, bounds: Bounds, done: Callable[[Outcome], None]) -> Attempt:
         """Send the request once. `done` is told how it ended, once and never from within this call or `cancel`.
         Its connection is closed before any failure is told, so that the module never starts a second copy while
         the first is still out."""
--- a/covetally/operator/check.py
+++ b/covetally/operator/check.py
@@ -183,9 +183,7 @@
     if attempts is not None:
         if int(attempts) > limits.max_attempts:
             remedy = f"at most {limits.max_attempts}"
-            problems.append(
-                Problem("limits.max_attempts", attempts, "is more than the platform allows", remedy)
-            )
+            problems.append(Problem("limits.max_attempts", attempts, "is more than the platform allows", remedy))
         limits = replace(limits, max_attempts=min(int(attempts), limits.max_attempts))
     if "limits.connect_timeout_ms" in values:
         limits = replace(limits, connect_timeout_ns=int(float(values["limits.connect_timeout_ms"]) * MS))
--- a/covetally/overload/words.py
+++ b/covetally/overload/words.py
@@ -1,17 +1,17 @@
 """A member's word on the line, as the body of a frame (covetally/words). Big-endian.
 
-    bytes  what
-    1      rung that it stands on
-    1      rung that an operator has pinned here, 255: none
-    2      weight: outcomes in the last half second
-    2      ratio of the load to where the line moves, in hundredths
-    2      requests let in, in the last half second
-    2      requests served
-    2      echo: a sender whose word was heard of late (65535: none),
-    2      the last two bytes of that word's number,
-    1      and how long ago it was heard, 20 ms each
-    1      tenants that follow, 32 at most
-    3 each tenant 1, requests asked 2
+bytes  what
+1      rung that it stands on
+1      rung that an operator has pinned here, 255: none
+2      weight: outcomes in the last half second
+2      ratio of the load to where the line moves, in hundredths
+2      requests let in, in the last half second
+2      requests served
+2      echo: a sender whose word was heard of late (65535: none),
+2      the last two bytes of that word's number,
+1      and how long ago it was heard, 20 ms each
+1      tenants that follow, 32 at most
+3 each tenant 1, requests asked 2
 """
 
 from __future__ import annotations
--- a/covetally/policy/balancer.py
+++ b/covetally/policy/balancer.py
@@ -10,8 +10,23 @@
 from __future__ import annotations
 
 from covetally.interface import (
-    Accept, Action, Alarm, Allotted, Begun, Belief, Directory, Ending, Event, Hangup, Heard, Held, Line, Response,
-    Settings, Suspect, Warned,
+    Accept,
+    Action,
+    Alarm,
+    Allotted,
+    Begun,
+    Belief,
+    Directory,
+    Ending,
+    Event,
+    Hangup,
+    Heard,
+    Held,
+    Line,
+    Response,
+    Settings,
+    Suspect,
+    Warned,
 )
 from covetally.policy.book import Book
 from covetally.policy.ending import end_by
--- a/covetally/policy/events.py
+++ b/covetally/policy/events.py
@@ -8,7 +8,17 @@
 from covetally.policy.book import Book
 from covetally.policy.calls import Call
 from covetally.policy.figures import (
-    CANCELLED, ERROR, FULL, GAIN, MOOT, MUTE, OK, PLENTY, RETRY_RATIO, SPOILT, TIMEOUT,
+    CANCELLED,
+    ERROR,
+    FULL,
+    GAIN,
+    MOOT,
+    MUTE,
+    OK,
+    PLENTY,
+    RETRY_RATIO,
+    SPOILT,
+    TIMEOUT,
 )
 from covetally.policy.limits import over_limit
 from covetally.policy.rules import finish, first_try
--- a/covetally/policy/rules.py
+++ b/covetally/policy/rules.py
@@ -39,14 +39,10 @@
     return call.cls.repeat == "guarded" and call.cls.group == "all"
 
 
-def send(
-    b: Book, now: int, call: Call, server: Server, trial: bool, odds: Odds | None = None
-) -> None:
+def send(b: Book, now: int, call: Call, server: Server, trial: bool, odds: Odds | None = None) -> None:
     if server.inflight >= server.peak or now - server.used > b.conn_idle:
         server.peak, server.joined = server.inflight + 1, now
-    b.attempts[call.tid, call.attempts] = Attempt(
-        server, trial, now, call.size, call.number, call.aim_at, odds
-    )
+    b.attempts[call.tid, call.attempts] = Attempt(server, trial, now, call.size, call.number, call.aim_at, odds)
     if not b.many and len(unheard := b.unheard.setdefault(server.zone, [])) < MUTE:
         unheard.append(now)
         b.cuts = b.cuts or len(unheard) == MUTE
--- a/covetally/policy/times.py
+++ b/covetally/policy/times.py
@@ -139,7 +139,7 @@
 def ramp(b: Book, server: Server, now: int) -> float:
     """Share of draws a server may keep: below its warmth, since the better of two draws gets the call."""
     warmth = warmth_of(b, server, now)
-    return warmth * warmth ** 0.5
+    return warmth * warmth**0.5
 
 
 def expected(b: Book, server: Server, call: Call, now: int, mean: float) -> float:
--- a/covetally/policy/verdicts.py
+++ b/covetally/policy/verdicts.py
@@ -6,7 +6,16 @@
 from covetally.policy.book import Book
 from covetally.policy.calls import Attempt, Call
 from covetally.policy.figures import (
-    CONNECT_FAILED, ERROR, FULL, GAIN, LONE, MUTE, RESET, SPOILT, STEPS, TIMEOUT,
+    CONNECT_FAILED,
+    ERROR,
+    FULL,
+    GAIN,
+    LONE,
+    MUTE,
+    RESET,
+    SPOILT,
+    STEPS,
+    TIMEOUT,
 )
 from covetally.policy.server import Server
 from covetally.policy.times import ramp
@@ -100,9 +109,7 @@
 
 def note_cut(b: Book, zone: int, share: float) -> None:
     b.cut[zone] = share
-    b.cuts = any(share > CUT for share in b.cut.values()) or any(
-        len(sent) == MUTE for sent in b.unheard.values()
-    )
+    b.cuts = any(share > CUT for share in b.cut.values()) or any(len(sent) == MUTE for sent in b.unheard.values())
     b.cuts = b.cuts or bool(b.warned or b.warned_zones)
 
 
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -91,9 +91,7 @@
         self.upstream = Upstream(settings, config.load_fields, clock, config.server_connections)
         self.peers = Peers(config.peers, config.peers_all)
         self.discovery = Discovery(settings, config.discovery)
-        self.sidecar = Sidecar(
-            settings, config.seed, clock, self.upstream, self.peers.send, self._subscribe
-        )
+        self.sidecar = Sidecar(settings, config.seed, clock, self.upstream, self.peers.send, self._subscribe)
         self.frontend = Frontend(settings, self.sidecar, config.client_connections, config.body_memory)
 
     # --- what management asks for (see control/instance.py) -------------------------------------
--- a/covetally/rig/demo.py
+++ b/covetally/rig/demo.py
@@ -99,9 +99,7 @@
         now = time.monotonic()
         span, self._seen_at = max(0.001, now - self._seen_at), now
         bar = ProgressBar(total=1.0, completed=min(1.0, part), width=60)
-        return Group(
-            self._instances(world, load), self._nodes(world, span), "\n".join(self.lines[-6:]), bar
-        )
+        return Group(self._instances(world, load), self._nodes(world, span), "\n".join(self.lines[-6:]), bar)
 
     def _instances(self, world: World, load: Load) -> Table:
         table = Table("instance", "asked/s", "in time", "refused", "failed", "in flight", title="sidecars")
--- a/covetally/rig/managed.py
+++ b/covetally/rig/managed.py
@@ -25,9 +25,7 @@
 class Managed(World):
     """A world whose instances dial an agent, by a relay each where `relayed` names them."""
 
-    def __init__(
-        self, shape: Shape | None = None, relayed: tuple[str, ...] = (), control: str = QUICK
-    ) -> None:
+    def __init__(self, shape: Shape | None = None, relayed: tuple[str, ...] = (), control: str = QUICK) -> None:
         super().__init__(shape)
         self.state = self.folder / "agent"
         self.state.mkdir()
--- a/covetally/rig/node.py
+++ b/covetally/rig/node.py
@@ -156,7 +156,7 @@
             wire.write(answer(400, headers={"Connection": "close"}))
             wire.close()
             return
-        work_ns = int(mean_ms * MS * self._random.lognormvariate(-self.spec.spread**2 / 2, self.spec.spread))
+        work_ns = int(mean_ms * MS * self._random.lognormvariate(-(self.spec.spread**2) / 2, self.spec.spread))
         sid = parse_qs(query.decode("latin-1")).get("sid", [""])[0]
         self._tell(["arrived", name, message.began_ns, message.ended_ns, work_ns, cls, sid])
         try:
--- a/covetally/tier/node.py
+++ b/covetally/tier/node.py
@@ -238,5 +238,3 @@
         """With what this member has to say of nodes on every datagram that goes out anyhow."""
         facts = self.facts.digest(now) if sends and self.site.verdicts else ()
         return [Datagram(peer, encode(message._replace(facts=facts))) for peer, message in sends]
-
-
--- a/covetally/tier/wire.py
+++ b/covetally/tier/wire.py
@@ -51,15 +51,17 @@
         MARK, VERSION, message.kind, len(rumours), message.sender, message.life, message.incarnation,
         message.number, message.target,
     )  # fmt: skip
-    data = head + b"".join(
-        RUMOUR.pack(r.member, r.state, r.incarnation, r.life, r.witness) for r in rumours
-    )
+    data = head + b"".join(RUMOUR.pack(r.member, r.state, r.incarnation, r.life, r.witness) for r in rumours)
     if message.kind in LOANS and message.loan is not None:
         data += LOAN.pack(*message.loan)
     facts = message.facts[: (MOST_BYTES - len(data) - 1) // FACT.size]
-    return data + bytes((len(facts),)) + b"".join(
-        FACT.pack(f.what, f.subject, f.counter, f.word, f.detail, f.zone, min(255, f.age_ns // AGE_NS))
-        for f in facts
+    return (
+        data
+        + bytes((len(facts),))
+        + b"".join(
+            FACT.pack(f.what, f.subject, f.counter, f.word, f.detail, f.zone, min(255, f.age_ns // AGE_NS))
+            for f in facts
+        )
     )
 
 
--- a/covetally/websocket/hub.py
+++ b/covetally/websocket/hub.py
@@ -298,4 +298,3 @@
                 for r in silent
             ],
         }  # fmt: skip
-
--- a/covetally/websocket/relay.py
+++ b/covetally/websocket/relay.py
@@ -42,10 +42,18 @@
 RECEIVE = 64 * 1024  # one read
 OWN = b"cs"  # pings of ours begin so
 RATE_BURST_S = 2.0  # frames of so many seconds may come at once
-FAULTS = frozenset((
-    "slow client", "slow node", "stalled node", "client at fault", "node at fault", "client too fast",
-    "node too fast", "cut in a frame",
-))  # what somebody should know of
+FAULTS = frozenset(
+    (
+        "slow client",
+        "slow node",
+        "stalled node",
+        "client at fault",
+        "node at fault",
+        "client too fast",
+        "node too fast",
+        "cut in a frame",
+    )
+)  # what somebody should know of
 _landing = memoryview(bytearray(RECEIVE))  # shared: filled and emptied within one callback
 _RESET = struct.pack("ii", 1, 0)  # struct linger: on, for no time at all
 
--- a/covetally/words/frame.py
+++ b/covetally/words/frame.py
@@ -1,11 +1,11 @@
 """The frame of a word, byte by byte. Big-endian.
 
-    offset  bytes  what
-    0       1      0x57, so that it is told apart from the tier's messages (0x54) and the balancer's rumours (8
-    bytes) 1       1      version of this table: 1. A newer one may add bytes at the end of a body 2       1
-    part: 1 overload line, 2 connection caps 3       2      sender, by its number in the list of peers 5       4
-    sender's life: random at each start 9       4      number of the word in that life 13      to 243 body, as
-    its part has it
+offset  bytes  what
+0       1      0x57, so that it is told apart from the tier's messages (0x54) and the balancer's rumours (8
+bytes) 1       1      version of this table: 1. A newer one may add bytes at the end of a body 2       1
+part: 1 overload line, 2 connection caps 3       2      sender, by its number in the list of peers 5       4
+sender's life: random at each start 9       4      number of the word in that life 13      to 243 body, as
+its part has it
 """
 
 from __future__ import annotations
--- a/covetally/workers/merge.py
+++ b/covetally/workers/merge.py
@@ -51,8 +51,16 @@
 def snapshot(parts: Mapping[int, Mapping[str, Any]]) -> dict[str, Any]:
     """One snapshot of all workers' by place: sums where they share a whole, the worst where they differ."""
     if not parts:
-        return {"limits": {}, "classes": {}, "nodes": [], "errors": [], "memory_kib": 0, "listen": "",
-                "violations": {}, "closed": {}}
+        return {
+            "limits": {},
+            "classes": {},
+            "nodes": [],
+            "errors": [],
+            "memory_kib": 0,
+            "listen": "",
+            "violations": {},
+            "closed": {},
+        }
     all_ = list(parts.values())
     nodes: dict[str, dict[str, Any]] = {}
     for part in all_:
--- a/tests/fleet/paper.py
+++ b/tests/fleet/paper.py
@@ -158,9 +158,7 @@
         paper = self.papers[name]
         if not paper.connected:
             paper.connected = True
-            self.feed(
-                self.rollout.connected(self.now, name, self._boot(paper), paper.has, paper.holds)
-            )
+            self.feed(self.rollout.connected(self.now, name, self._boot(paper), paper.has, paper.holds))
 
     def restart(self, name: str) -> None:
         paper = self.papers[name]
@@ -211,8 +209,10 @@
         assert len(out) <= rollout.plan.max_out, "more out than the plan allows"
         if rollout.ended:
             assert not out, "ended with something on its way"
-            assert rollout.counts().get("pending", 0) == 0 or rollout.phase is Phase.ABORTED or (
-                rollout.phase is Phase.INCOMPLETE and rollout.reason
+            assert (
+                rollout.counts().get("pending", 0) == 0
+                or rollout.phase is Phase.ABORTED
+                or (rollout.phase is Phase.INCOMPLETE and rollout.reason)
             ), "ended with somebody never told, and no reason"
         for member in rollout.members.values():
             assert isinstance(member.state, State)
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -129,9 +129,7 @@
             place.change("bob", parent=0, limits__max_attempts=3)
         error = caught.value
         assert error.code == "conflict" and "revision 1 by ann" in str(error)
-        assert error.data["changes"] == [
-            {"selector": "", "key": "limits.max_attempts", "old": None, "new": 2}
-        ]
+        assert error.data["changes"] == [{"selector": "", "key": "limits.max_attempts", "old": None, "new": 2}]
         assert error.data["revisions"][0]["author"] == "ann"
         assert wire.values == {"limits.max_attempts": 2}, "nothing of the second was merged"
 
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -77,8 +77,17 @@
     assert held == state
 
 
-@pytest.mark.parametrize("table", [None, {}, {"revision": -1}, Orders().table() | {"roster": "x"},
-                                   Orders().table() | {"within_s": "1"}, Orders().table() | {"draining": 1}])
+@pytest.mark.parametrize(
+    "table",
+    [
+        None,
+        {},
+        {"revision": -1},
+        Orders().table() | {"roster": "x"},
+        Orders().table() | {"within_s": "1"},
+        Orders().table() | {"draining": 1},
+    ],
+)
 def test_what_is_no_orders_is_said_to_be_none(table):
     with pytest.raises(ValueError):
         from_table(table)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -56,9 +56,7 @@
     return head + await reader.readexactly(length)
 
 
-async def fine(
-    server: Server, got: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
+async def fine(server: Server, got: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """The script of a server in good health: the body it gives back names the request."""
     trace = next(x.partition(b":")[2].strip() for x in got.split(b"\r\n") if x.startswith(b"x-trace-id"))
     writer.write(answer(b"for " + trace))
--- a/tests/membership/test_eureka.py
+++ b/tests/membership/test_eureka.py
@@ -112,7 +112,7 @@
     return found, reader.hash
 
 
-RECORDS = [node(i) for i in range(5)] + [standin.instance("ÜBRIGE", "x\"{[", "10.0.0.1", 1)]
+RECORDS = [node(i) for i in range(5)] + [standin.instance("ÜBRIGE", 'x"{[', "10.0.0.1", 1)]
 
 
 @given(size=st.integers(1, 3000), count=st.integers(0, 6), single=st.booleans())
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -169,4 +169,3 @@
                 "http://10.0.0.1:99999/", "http://10.0.0.1/?x", "http://10.0.0.1/ä", "http://"):  # fmt: skip
         with pytest.raises(ValueError):
             split_url(bad)
-
--- a/tests/membership/test_registering.py
+++ b/tests/membership/test_registering.py
@@ -136,11 +136,11 @@
 @pytest.mark.parametrize(
     ("lines", "names"),
     [
-        ('[roster]\nsource = "eureka"\n', "roster.source = \"eureka\": needs eureka.addresses"),
+        ('[roster]\nsource = "eureka"\n', 'roster.source = "eureka": needs eureka.addresses'),
         ('[roster]\nsource = "file"\nfile = "/none/such"\n', "roster.file"),
         ('[roster]\nsource = "registry"\n', "one of off, platform, eureka, file"),
         ('[eureka]\naddresses = "http://ledger.example.org/eureka"\n', "http://A.B.C.D:PORT/PATH"),
-        ('[roster]\ncompare = "file"\nfile = "/x"\n', "roster.compare = \"file\": means nothing"),
+        ('[roster]\ncompare = "file"\nfile = "/x"\n', 'roster.compare = "file": means nothing'),
         (
             '[register]\napp = "X"\n[eureka]\naddresses = "http://10.0.0.1/"\ncredentials_file = "/none"\n',
             "eureka.credentials_file",
--- a/tests/overload/test_fleet.py
+++ b/tests/overload/test_fleet.py
@@ -91,6 +91,7 @@
 
 def test_a_lone_one_with_a_bad_link_does_not_pull_the_fleet_down():
     """All that one of them sees is late: its zone's link, not the fleet."""
+
     def lie(now, word):
         return changed(word, ratio=9.0, weight=20)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -83,6 +83,18 @@
     assert max(lines.values()) <= MOST_MODULE_LINES, lines
     assert all((ROOT / name).exists() for name in named)
     assert [f for f in files if not any(f == name or f.startswith(name + "/") for name in named)] == []
-    optional = ("operator/files", "control/", "membership/", "workers/", "websocket/", "fleet/", "rig/", "cli/",
-                "overload/", "words/", "caps/", "spoken")
+    optional = (
+        "operator/files",
+        "control/",
+        "membership/",
+        "workers/",
+        "websocket/",
+        "fleet/",
+        "rig/",
+        "cli/",
+        "overload/",
+        "words/",
+        "caps/",
+        "spoken",
+    )
     assert [f for f in files if f.removeprefix("covetally/").startswith(optional)] == []
--- a/tests/tier/test_members.py
+++ b/tests/tier/test_members.py
@@ -218,9 +218,7 @@
     Fact, st.sampled_from(What), st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1), st.sampled_from(Word),
     st.integers(0, 255), st.integers(0, 255), st.integers(0, 255).map(lambda units: units * AGE_NS),
 )  # fmt: skip
-LOANS = st.builds(
-    Loan, st.integers(0, 2**32 - 1), st.integers(0, 2**64 - 1), st.floats(0, 1), st.floats(0, 1e9)
-)
+LOANS = st.builds(Loan, st.integers(0, 2**32 - 1), st.integers(0, 2**64 - 1), st.floats(0, 1), st.floats(0, 1e9))
 WORDS = st.builds(
     Message, st.sampled_from([Kind.WANT, Kind.GRANT]), st.integers(0, 65535), st.integers(0, 2**32 - 1),
     st.integers(0, 2**32 - 1), st.integers(0, 65535), st.integers(0, 65535), st.just(()),
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -101,9 +101,7 @@
 
 
 def load_of(world: Managed) -> Load:
-    plan = Plan(
-        LOAD_CLASSES, {BRESCIA: 1.0}, tuple(world.instances), 1.0, 1.0, retries=0
-    )
+    plan = Plan(LOAD_CLASSES, {BRESCIA: 1.0}, tuple(world.instances), 1.0, 1.0, retries=0)
     return Load(world.account, {n: i.address for n, i in world.instances.items()}, plan, world.alive)
 
 
--- a/tests/websocket/test_sockets.py
+++ b/tests/websocket/test_sockets.py
@@ -321,5 +321,3 @@
             assert b" 200 " in got[:20]
 
     run(main)
-
-
