Let the agent keep what it decided while its disk refuses, and carry nothing out before

Cause: Agent._save cleared its marks and flush forgot what was to be sent before COMMIT had succeeded; a change, an undo, a freeze, a restart and a drain order were made in memory though the disk had refused them; Drains told permits of a look whose save had failed. Change: marks are cleared when the transaction is on disk (Store.on_commit); what is to be sent waits in an outbox; flush is tried again every 0.5 s; _all_or_nothing undoes a change of rollouts with its transaction; freezes, forgetting and drain orders are as before where they cannot be kept; a drain's look tells nothing that is not on disk.

--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -8,9 +8,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import copy
 import logging
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from covetally.control.protocol import Message, digest
@@ -28,13 +32,14 @@
 from covetally.fleet.running import Draft, Running
 from covetally.fleet.selector import Selector, parse
 from covetally.fleet.steady_clock import SteadyClock
-from covetally.fleet.store import Revision, RolloutRow, Store
+from covetally.fleet.store import CannotKeepError, Revision, RolloutRow, Store
 from covetally.fleet.watchers import Watchers
 from covetally.operator import check
 from covetally.operator.schema import Values
 
 log = logging.getLogger(__name__)
 
+KEEP_AGAIN_S = 0.5  # until what the disk did not take is written again
 BATCH_S = 0.005  # what happens within so long is written in one transaction
 RECOVER_S = 10.0  # an agent whose store is new listens so long for what instances have
 MAX_ENDED = 50  # ended rollouts that are kept in memory, for those that come back late
@@ -59,6 +64,9 @@
         self._running: dict[int, Running] = {}
         self._dirty: set[str] = set()
         self._todo: list[tuple[Running, Any]] = []
+        self._outbox: list[tuple[Running, Send | Restart]] = []  # to be carried out once the store has it all
+        self._settled = self._settled_kept = int(store.get("settled", "0"))
+        self._cannot_keep = False  # the disk did not take what was last written
         self._flush_timer: asyncio.TimerHandle | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
         self.supervised: Callable[[], list[dict[str, Any]]] = list
@@ -75,7 +83,8 @@
         self._opened = False
 
     def _keep_clock(self) -> None:
-        self._store.set("clock", self.clock.text())
+        with self._store.transaction():
+            self._store.set("clock", self.clock.text())
 
     # --- beginning and end ----------------------------------------------------------------------
 
@@ -95,12 +104,12 @@
         self._opened = True
         self.drains.open()
         self._audit.write("agent", "start", revision=self._store.head().number)
-        self.flush()
+        self._try_to_flush()
 
     def close(self) -> None:
         """Write what is not written."""
         self.drains.close()
-        self.flush()
+        self._try_to_flush()
         for timer in (self._flush_timer, self._tick_timer, self.watchers.timer):
             if timer is not None:
                 timer.cancel()
@@ -255,7 +264,7 @@
         if not self._opened or self._recovering() or not instance.connected:
             return
         if instance.assigned < 0:
-            instance.assigned = int(self._store.get("settled", "0"))
+            instance.assigned = self._settled
             self._dirty.add(instance.name)
             for running in list(self._running.values()):
                 r, meant = running.rollout, running.selector.matches(instance.name, instance.labels)
@@ -312,6 +321,7 @@
                 self._store.add_revision(revision)
                 self._store.set("settled", str(number))
                 self._store.set("recovered", "yes")
+            self._settled = self._settled_kept = number
             self.recovered = True
             log.warning("the store was lost: revision %d %s", number, text)
             self._audit.write("agent", "recover", revision=number, instances=len(reports))
@@ -320,7 +330,7 @@
                 self._dirty.add(instance.name)
         for instance in list(self.instances.values()):
             self._place(instance)
-        self.flush()
+        self._try_to_flush()
 
     # --- carrying out -----------------------------------------------------------------------------
 
@@ -332,35 +342,62 @@
 
     def _soon(self) -> None:
         if self._flush_timer is None:
-            self._flush_timer = asyncio.get_running_loop().call_later(BATCH_S, self.flush)
+            self._flush_timer = asyncio.get_running_loop().call_later(BATCH_S, self._try_to_flush)
+
+    def _try_to_flush(self) -> None:
+        """As `flush`, where nobody waits for it: it is tried again until the disk takes what there is."""
+        with contextlib.suppress(CannotKeepError):
+            self.flush()
 
     def flush(self) -> None:
-        """Write all that has changed, then carry out what was decided."""
+        """Write all that has changed, then carry out what was decided.
+
+        CannotKeepError where the disk does not take it: nothing is carried out, and all of it is written with the
+        next try.
+        """
         if self._flush_timer is not None:
             self._flush_timer.cancel()
             self._flush_timer = None
-        ready: list[tuple[Running, Send | Restart]] = []
-        with self._store.transaction():
-            self._ended_ones()
-            while self._todo:
-                todo, self._todo = self._todo, []
-                for running, action in todo:
-                    if isinstance(action, UndoWanted):
-                        self._undo_by_itself(running, action.reason)
-                        continue
-                    ready.append((running, action))
-                    if isinstance(action, Send) and action.name in self.instances:
-                        row = running.row
-                        assigned = row.undo_revision if action.undo else row.revision
-                        self.instances[action.name].assigned = assigned
-                        self._dirty.add(action.name)
-                self._ended_ones()
-            self._save()
+        try:
+            self._decide()
+            with self._store.transaction():
+                self._save()
+        except CannotKeepError as error:
+            if not self._cannot_keep:
+                log.error("%s", error.line())
+            self._cannot_keep = True
+            loop = asyncio.get_running_loop()
+            self._flush_timer = loop.call_later(KEEP_AGAIN_S, self._try_to_flush)
+            raise
+        if self._cannot_keep:
+            log.info("the store takes what is written again")
+        self._cannot_keep = False
+        ready, self._outbox = self._outbox, []
         for running, action in ready:
             self._carry_out(running, action)
         self._arm()
 
+    def _decide(self) -> None:
+        """What follows from what has happened: instances to be told something, rollouts that end or begin."""
+        self._ended_ones()
+        while self._todo:
+            running, action = self._todo[0]
+            if isinstance(action, UndoWanted):
+                self._undo_by_itself(running, action.reason)  # it stays to be done where it cannot be kept
+                self._todo.remove((running, action))
+            else:
+                self._todo.pop(0)
+                self._outbox.append((running, action))
+                if isinstance(action, Send) and action.name in self.instances:
+                    row = running.row
+                    assigned = row.undo_revision if action.undo else row.revision
+                    self.instances[action.name].assigned = assigned
+                    self._dirty.add(action.name)
+            if not self._todo:
+                self._ended_ones()
+
     def _save(self) -> None:
+        """Write what the store lacks; it counts as written once the transaction is on disk."""
         now = self._now()
         with self._store.transaction():
             for running in self._running.values():
@@ -370,14 +407,42 @@
                     k: v for k, v in running.row.head.items() if k != "spent"
                 }
                 if members or changed:
-                    running.row.head = head
-                    self._store.save_rollout(running.row, members)
-                    running.rollout.dirty.clear()
-                    self.watchers.changed(running.rollout.number)
+                    self._store.save_rollout(replace(running.row, head=head), members)
+                    self._store.on_commit(partial(self._rollout_saved, running, head))
             rows = {name: self.instances[name].row() for name in self._dirty if name in self.instances}
-            self._dirty.clear()
             if rows:
                 self._store.save_instances(rows)
+            if self._settled != self._settled_kept:
+                self._store.set("settled", str(self._settled))
+            self._store.on_commit(self._instances_saved)
+
+    def _rollout_saved(self, running: Running, head: dict[str, Any]) -> None:
+        running.row.head = head
+        running.rollout.dirty.clear()
+        self.watchers.changed(running.rollout.number)
+
+    def _instances_saved(self) -> None:
+        self._dirty.clear()
+        self._settled_kept = self._settled
+
+    @contextlib.contextmanager
+    def _all_or_nothing(self, *touched: Running) -> Iterator[None]:
+        """A transaction of the store, and of the rollouts that it touches.
+
+        CannotKeepError where the disk does not take it: nothing of it was done here either.
+        """
+        before = [(running, replace(running, row=replace(running.row)), copy.deepcopy(running.rollout))
+                  for running in touched]  # fmt: skip
+        known, todo = dict(self._running), list(self._todo)
+        try:
+            with self._store.transaction():
+                yield
+        except CannotKeepError:
+            self._running, self._todo = known, todo
+            for running, old, its_rollout in before:
+                running.rollout, running.row = its_rollout, old.row
+                running.queued, running.undo_due = old.queued, old.undo_due
+            raise
 
     def _carry_out(self, running: Running, action: Send | Restart) -> None:
         instance = self.instances.get(action.name)
@@ -421,7 +486,7 @@
         for running in list(self._running.values()):
             if running.active and not running.queued:
                 self._do(running, running.rollout.tick(now))
-        self.flush()
+        self._try_to_flush()
 
     def _ended_ones(self) -> None:
         """Draw the line under rollouts that have ended, and begin those that waited for them."""
@@ -432,7 +497,7 @@
             row.ended = True
             revision = row.undo_revision if r.phase is Phase.UNDONE else row.revision
             if r.kind == "change" and r.phase in (Phase.DONE, Phase.INCOMPLETE, Phase.UNDONE):
-                self._store.set("settled", str(max(revision, int(self._store.get("settled", "0")))))
+                self._settled = max(revision, self._settled)
                 for member in r.members.values():
                     if member.state is not State.REFUSED and member.name in self.instances:
                         self.instances[member.name].assigned = revision
@@ -553,7 +618,7 @@
         blocking = self._overlapping(meant)
         if blocking and overlap == "refuse":
             raise self._busy(blocking)
-        with self._store.transaction():
+        with self._all_or_nothing(*blocking):
             self._store.add_revision(revision)
             if overlap == "supersede":
                 self._supersede(blocking)
@@ -566,7 +631,7 @@
         number = revision.number
         done = {"revision": number, "rollout": running.rollout.number, "changes": changes, "reason": reason}
         self._audit.write(who, "change", **done)
-        self.flush()
+        self._try_to_flush()  # the revision and its rollout are kept already
         return {"revision": number, "rollout": running.table(self._now()), "changes": changes}
 
     def restart(self, who: str, reason: str, selector: str, plan: Plan, dry_run: bool) -> dict[str, Any]:
@@ -583,10 +648,12 @@
         blocking = self._overlapping(meant)
         if blocking:
             raise self._busy(blocking)
-        running = self._make("restart", self._store.head(), meant, who, reason, plan, found)
-        self._begin(running)
+        with self._all_or_nothing():
+            running = self._make("restart", self._store.head(), meant, who, reason, plan, found)
+            self._begin(running)
+            self._save()
         self._audit.write(who, "restart", rollout=running.rollout.number, selector=str(meant), reason=reason)
-        self.flush()
+        self._try_to_flush()
         return {"rollout": running.table(self._now())}
 
     def start_drain(self, who: str, wanted: Wanted, reason: str, selector: str) -> dict[str, Any]:
@@ -602,22 +669,32 @@
         """Begin nothing planned for what is meant, for so long; durable before it is answered."""
         self._ready()
         self._selector(selector)
-        made = self.freezes.add(selector, self.clock.now(), for_s, who, reason, through)
-        self._store.set("freezes", self.freezes.text())
-        self._keep_clock()
+        with self._freezes_kept():
+            made = self.freezes.add(selector, self.clock.now(), for_s, who, reason, through)
         self._audit.write(who, "freeze", freeze=made.number, selector=made.selector, for_s=for_s, reason=reason)
         return self.freezes.table(self.clock.now())[0]
 
     def thaw(self, who: str, number: int) -> dict[str, Any]:
         """End a freeze; Refused if it is not in force."""
-        ended = self.freezes.lift(number, self.clock.now(), who)
-        if ended is None:
-            raise Refused("unknown", f"no freeze {number} is in force")
-        self._store.set("freezes", self.freezes.text())
-        self._keep_clock()
+        with self._freezes_kept():
+            if self.freezes.lift(number, self.clock.now(), who) is None:
+                raise Refused("unknown", f"no freeze {number} is in force")
         self._audit.write(who, "thaw", freeze=number)
         return next(row for row in self.freezes.table(self.clock.now()) if row["number"] == number)
 
+    @contextlib.contextmanager
+    def _freezes_kept(self) -> Iterator[None]:
+        """Freezes that change in it are on disk after it; CannotKeepError, and as they were, if not."""
+        before = self.freezes.text()
+        try:
+            with self._store.transaction():
+                yield
+                self._store.set("freezes", self.freezes.text())
+                self._keep_clock()
+        except CannotKeepError:
+            self.freezes = Freezes(before)
+            raise
+
     def _not_frozen(self, meant: Selector, who: str) -> None:
         freeze = self.freezes.blocking(meant, who, self.clock.now())
         if freeze is not None:
@@ -676,11 +753,12 @@
             raise Refused("conflict", f"{name} is connected: what is there cannot be forgotten")
         for running in self._of(instance):
             self._do(running, running.rollout.left(self._now(), name, f"forgotten by {who}"))
+        with self._store.transaction():
+            self._store.forget_instance(name)
+            self.orders.forget(name)
         del self.instances[name]
-        self._store.forget_instance(name)
-        self.orders.forget(name)
         self._audit.write(who, "forget", instance=name)
-        self.flush()
+        self._try_to_flush()
 
     # --- their parts -------------------------------------------------------------------------------
 
@@ -820,9 +898,6 @@
         others = [x for x in self._overlapping(meant) if x is not running]
         if any(not x.queued for x in others):
             raise self._busy([x for x in others if not x.queued])
-        for queued in others:  # they were built on what is taken back
-            queued.queued = False
-            self._do(queued, queued.rollout.abort(self._now(), f"rollout {r.number} was undone"))
         head = self._store.head()
         made = head.document.replaced(meant, taken_back(head.document, mine.document, parent.document, meant))
         number = self._next_revision(head)
@@ -833,9 +908,12 @@
             instance = self.instances.get(name)
             labels = instance.labels if instance is not None else {}
             befores[name] = digest(made.effective(name, labels))
-        self._running[r.number] = running
-        self._refresh(running)
-        with self._store.transaction():
+        with self._all_or_nothing(running, *others):
+            self._running[r.number] = running
+            self._refresh(running)
+            for queued in others:  # they were built on what is taken back
+                queued.queued = False
+                self._do(queued, queued.rollout.abort(self._now(), f"rollout {r.number} was undone"))
             self._store.add_revision(revision)
             row.undo_revision, row.ended = number, False
             self._do(running, r.undo(self._now(), text, befores))
--- a/covetally/fleet/drains.py
+++ b/covetally/fleet/drains.py
@@ -16,7 +16,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import logging
 import time
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -28,7 +30,9 @@
 from covetally.drainplan.run import Phase, Run
 from covetally.fleet.registry import Instance
 from covetally.fleet.steady_clock import SteadyClock
-from covetally.fleet.store import Store
+from covetally.fleet.store import CannotKeepError, Store
+
+log = logging.getLogger(__name__)
 
 LISTENS_S = 3.0
 LOOK_S = 0.2
@@ -119,6 +123,7 @@
         self._asking = False
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._kept: tuple[Any, ...] = ()  # what changes, as it was last written
 
     # --- what operators do ----------------------------------------------------------------------
 
@@ -140,9 +145,14 @@
             )
         self.preview(wanted)
         number = (self.run.number if self.run else 0) + 1
+        before = self.wanted, self.run, self.account
         self.wanted, self.run = wanted, Run(number, who, why, list(wanted.names))
         self.account = account_of(self._hands.instances.values(), wanted)
-        self._save()
+        try:
+            self._save()
+        except CannotKeepError:
+            self.wanted, self.run, self.account = before
+            raise
         names = list(wanted.names)[:1000]
         self._write(who, "drain start", order=number, how=wanted.what, instances=names, reason=why)
         self._arm()
@@ -222,13 +232,15 @@
             return
         self._arm()
         now = self._clock.now()
-        before = (run.text(), self.permits.text())
         account = self._current(now)
         self.permits.look(account)
-        if time.monotonic() >= self._listens_until:
-            self._act(now, run, account)
-        if (run.text(), self.permits.text()) != before:
-            self._save()
+        try:
+            if time.monotonic() >= self._listens_until:
+                self._act(now, run, account)
+            self._save_changes()
+        except CannotKeepError as error:  # nothing is told that is not on disk; the next look writes it
+            log.warning("%s", error.line())
+            return
         self._tell()
         if time.monotonic() - self._line_at >= LINE_S:
             self._line_at = time.monotonic()
@@ -238,8 +250,8 @@
         if not self._acts:
             self.permits.epoch = next_epoch((self.permits.epoch, self.permits.heard))
             self.permits.heard = self.permits.epoch
-            self._acts = True
             self._save()
+            self._acts = True
         units = run.next(now, account, self.permits, self._line_up)
         if (units or self._dumb) and not self._fresh():
             return
@@ -299,7 +311,10 @@
             self._spawn(self._step(permit.number, unit))
 
     async def _step(self, number: int, unit: str) -> None:
-        denied = await self._hands.step(unit, self.wanted.what, self.permits.epoch)
+        try:
+            denied = await self._hands.step(unit, self.wanted.what, self.permits.epoch)
+        except CannotKeepError as error:
+            denied = error.line()
         if denied and self.run is not None:
             self._told.discard(number)
             self.permits.take_back(self._clock.now(), self.account, unit, denied)
@@ -307,7 +322,8 @@
             self._write("agent", "drain refused", instance=unit, reason=denied)
         else:
             self.permits.told(unit)
-        self._save()
+        with contextlib.suppress(CannotKeepError):  # the next look writes it
+            self._save_changes()
 
     async def _look_at_line(self) -> None:
         names = [name for name, instance in self._hands.instances.items() if instance.connected]
@@ -366,6 +382,15 @@
         }  # fmt: skip
         with self._store.transaction():
             self._store.set(KEPT, json.dumps(kept))
+        self._kept = self._changing()
+
+    def _save_changes(self) -> None:
+        if self._changing() != self._kept:
+            self._save()
+
+    def _changing(self) -> tuple[Any, ...]:
+        """What changes as an order goes on."""
+        return (self.run.text() if self.run is not None else "", self.permits.text(), self.permits.epoch)
 
 
 def _text(wanted: Wanted) -> dict[str, Any]:
--- a/covetally/fleet/store.py
+++ b/covetally/fleet/store.py
@@ -8,7 +8,7 @@
 
 import json
 import sqlite3
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -96,6 +96,7 @@
     def __init__(self, path: Path) -> None:
         self.path = path
         self._cache: dict[int, Revision] = {}  # they never change
+        self._on_commit: list[Callable[[], None]] = []
         try:
             self.new = not path.exists()
             self._db = sqlite3.connect(path, isolation_level=None)
@@ -126,11 +127,20 @@
             yield
             self._db.execute("COMMIT")
         except BaseException as error:
+            self._on_commit.clear()
             self._roll_back()
             if isinstance(error, sqlite3.OperationalError):
                 raise CannotKeepError(f"{self.path}: {error}") from None
             raise
 
+        callbacks, self._on_commit = self._on_commit, []
+        for callback in callbacks:
+            callback()
+
+    def on_commit(self, callback: Callable[[], None]) -> None:
+        """Call back once the transaction at hand is on disk, and never if it is rolled back."""
+        self._on_commit.append(callback)
+
     def _roll_back(self) -> None:
         """End the transaction at hand. Some failures of the disk have ended it already; where it stays open, all
         that follows would pass for a part of it and never be committed."""
--- /dev/null
+++ b/tests/fleet/test_agent_disk.py
@@ -0,0 +1,138 @@
+"""An agent whose disk refuses: nothing is told that is not kept, nothing is forgotten, and it catches up."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+from dataclasses import replace
+
+import pytest
+
+from covetally.fleet.agent import Agent
+from covetally.fleet.drains import Wanted
+from covetally.fleet.rollout import Phase
+from covetally.fleet.store import CannotKeepError
+from tests.fleet.test_agent import AT_ONCE, Wire, run
+
+FAILING = ("COMMIT", "BEGIN IMMEDIATE")
+
+
+class SickDisk:
+    """A database of which some statements fail for as long as it is sick."""
+
+    def __init__(self, real: sqlite3.Connection) -> None:
+        self._real, self.failing = real, ""
+
+    def __getattr__(self, name):
+        return getattr(self._real, name)
+
+    def execute(self, text, *rest):
+        if self.failing and text.startswith(self.failing):
+            raise sqlite3.OperationalError("disk I/O error")
+        return self._real.execute(text, *rest)
+
+
+def sicken(agent: Agent, failing: str = "COMMIT") -> SickDisk:
+    """Let the agent's store fail at such statements from here on, until `failing` is emptied."""
+    disk = SickDisk(agent._store._db)
+    agent._store._db = disk  # type: ignore[assignment]
+    disk.failing = failing
+    return disk
+
+
+def applied(wire: Wire) -> list[int]:
+    """The revisions that an instance was sent."""
+    return [message["revision"] for message in wire.sent if message["t"] == "apply"]
+
+
+@pytest.mark.parametrize("failing", FAILING)
+def test_a_change_that_cannot_be_kept_is_not_made_and_can_be_made_later(failing):
+    async def main(place):
+        wire = Wire(place.agent, "i0").dial()
+        disk = sicken(place.agent, failing)
+        with pytest.raises(CannotKeepError):
+            place.change(limits__max_attempts=2)
+        await asyncio.sleep(0.05)
+        assert place.agent.head().number == 0 and place.agent.rollouts() == [] and applied(wire) == []
+        disk.failing = ""
+        place.change(limits__max_attempts=2)
+        await place.settled()
+        assert wire.values == {"limits.max_attempts": 2}
+
+    run(main)
+
+
+def test_a_rollout_stands_still_while_the_disk_refuses_and_goes_on_by_itself():
+    """Its state was taken for written, and what was to be sent was forgotten."""
+
+    async def main(place):
+        wires = [Wire(place.agent, f"i{number}").dial() for number in range(3)]
+        wires[0].silent = True
+        plan = replace(AT_ONCE, canary=1, shares=(1.0,))
+        number = place.change(plan=plan, limits__max_attempts=2)["rollout"]["number"]
+        await asyncio.sleep(0.05)
+        disk = sicken(place.agent)
+        wires[0]._obey(wires[0].sent[-1])  # the canary takes it: the others would be next
+        await asyncio.sleep(0.2)
+        assert [applied(wire) for wire in wires] == [[1], [], []], "told only what the store has"
+        disk.failing = ""
+        await place.settled()
+        assert place.agent.running(number).rollout.phase is Phase.DONE
+        assert [applied(wire) for wire in wires] == [[1], [1], [1]]
+        place.agent.close()
+        place.open()
+        assert {m.state.value for m in place.agent.running(number).rollout.members.values()} == {"took"}
+        late = Wire(place.agent, "late").dial()
+        await asyncio.sleep(0.05)
+        assert applied(late) == [1], "what it settled on is kept too"
+
+    run(main)
+
+
+def test_an_undo_that_cannot_be_kept_changes_nothing_and_can_be_had_later():
+    async def main(place):
+        wire = Wire(place.agent, "i0").dial()
+        number = place.change(limits__max_attempts=2)["rollout"]["number"]
+        await place.settled()
+        disk = sicken(place.agent)
+        with pytest.raises(CannotKeepError):
+            place.agent.steer("ann", number, "undo", "")
+        assert place.agent.running(number).rollout.phase is Phase.DONE and place.agent.head().number == 1
+        disk.failing = ""
+        place.agent.steer("ann", number, "undo", "")
+        await place.settled()
+        assert wire.values == {} and place.agent.head().number == 2
+
+    run(main)
+
+
+def test_what_an_operator_asks_for_is_as_it_was_where_it_cannot_be_kept():
+    async def main(place):
+        agent = place.agent
+        wire = Wire(agent, "i0").dial()
+        agent.freeze("ann", 60.0, "name=x", "sale", "ann")
+        disk = sicken(agent)
+        for ask in (
+            lambda: agent.freeze("ann", 60.0, "", "more", ""), lambda: agent.thaw("ann", 1),
+            lambda: agent.restart("ann", "", "", AT_ONCE, False),
+            lambda: agent.start_drain("ann", Wanted(("i0",)), "", ""),
+        ):  # fmt: skip
+            with pytest.raises(CannotKeepError):
+                ask()
+        with pytest.raises(CannotKeepError):
+            await agent.order("ann", "drain", "")
+        assert [row["state"] for row in agent.freezes.table(agent.clock.now())] == ["in force"]
+        assert agent.rollouts() == [] and agent.drains.run is None and not agent.orders.of("i0").draining
+        wire.end("gone")
+        with pytest.raises(CannotKeepError):
+            agent.forget("ann", "i0")
+        assert "i0" in agent.instances
+        disk.failing = ""
+        await asyncio.sleep(0.05)
+        agent.forget("ann", "i0")
+        agent.thaw("ann", 1)
+        agent.close()
+        place.open()
+        assert list(place.agent.instances) == [] and place.agent.freezes.table(0)[0]["state"] == "lifted"
+
+    run(main)
