Try again what a sidecar's disk did not take, and show kept files under faults and kills

Cause: Manager._proven and Roster._save logged a refused write once and never tried again: a proven revision stayed on trial in the file, so that a later crash counted against it, and a roster that changed while the disk was full was not kept until its next change. Change: both are written again every 2 s until the disk takes them, said once. Measured: tests/control/test_keep_disk.py. The two for that fail on the code before. New and passing on it too: a process killed at each call of files.replace (also in the middle of the write) leaves the old file or the new one; ENOSPC, EIO and EROFS at open, fsync and rename leave the old one; an order that cannot be kept is refused and not in force.

--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -30,6 +30,7 @@
 
 SILENT_BEATS = 3  # an agent that has not answered so many heartbeats, and SILENT_S, is not there
 SILENT_S = 2.0
+KEEP_AGAIN_S = 2.0  # until what the disk did not take is written again
 MAX_UNSENT = 4 * 1024 * 1024  # an agent that does not read is not there either
 
 
@@ -55,6 +56,7 @@
         self._proving: asyncio.TimerHandle | None = None
         self._writing = asyncio.Lock()
         self._told_down = False
+        self._cannot_keep = False  # the disk did not take what was last to be kept of a trial
         self.gauges: Told
 
     # --- before and after -----------------------------------------------------------------------
@@ -101,7 +103,7 @@
         if self._memory.trial is not None:
             self._prove_later()
         elif self._memory.failed is not None:
-            asyncio.get_running_loop().create_task(self._keep())
+            self._prove_later(0.0)  # what failed is kept as such
         self._task = asyncio.create_task(self._run())
 
     def goodbye(self) -> None:
@@ -397,19 +399,25 @@
             async with self._writing:
                 await asyncio.to_thread(keep.write, self._path, Kept(self._memory, self.orders))
 
-    def _prove_later(self) -> None:
+    def _prove_later(self, after_s: float = taking.PROVE_S) -> None:
         if self._proving is not None:
             self._proving.cancel()
         loop = asyncio.get_running_loop()
-        self._proving = loop.call_later(taking.PROVE_S, lambda: loop.create_task(self._proven()))
+        self._proving = loop.call_later(after_s, lambda: loop.create_task(self._proven()))
 
     async def _proven(self) -> None:
+        """The revision on trial is good. Until that is kept a crash would count against it: it is tried again."""
         self._proving = None
         self._memory = taking.proven(self._memory)
         try:
             await self._keep()
         except OSError as error:
-            log.error("control.keep: %s", error)
+            if not self._cannot_keep:
+                log.error("control.keep: %s: make room on the disk or mend it", error)
+            self._cannot_keep = True
+            self._prove_later(KEEP_AGAIN_S)
+        else:
+            self._cannot_keep = False
 
 
 def _version() -> str:
--- a/covetally/membership/roster.py
+++ b/covetally/membership/roster.py
@@ -31,6 +31,7 @@
 log = logging.getLogger(__name__)
 
 FIRST_S = 3.0
+KEEP_AGAIN_S = 2.0  # until what the disk did not take is written again
 LOOK_S = 0.5  # how often time and evidence are looked at
 HEARD = (How.OK, How.ERROR, How.FULL, How.SPOILT)
 
@@ -80,6 +81,8 @@
         self._asking: asyncio.Task[None] | None = None
         self._saving: asyncio.Task[None] | None = None
         self._unsaved = False
+        self._save_from = 0.0  # on the loop's clock: no sooner, where the disk has just refused
+        self._cannot_keep = False
         self._level = ""
         self._silent: set[str] = set()
         self._running = False
@@ -245,7 +248,7 @@
         for name in sorted(silent - self._silent):
             log.warning("%s is registered but not answering", name)
         self._silent = silent
-        if self._unsaved and self._saving is None:
+        if self._unsaved and self._saving is None and asyncio.get_running_loop().time() >= self._save_from:
             self._unsaved = False
             self._saving = asyncio.create_task(self._save())
 
@@ -281,7 +284,12 @@
                 data = keep.encode(members, believer.revision)
                 await asyncio.to_thread(files.replace, path, data)
         except OSError as error:
-            log.error("roster.keep: %s: %s", path, error)
+            if not self._cannot_keep:
+                log.error("roster.keep: %s: %s: make room on the disk or mend it", path, error)
+            self._cannot_keep = self._unsaved = True
+            self._save_from = asyncio.get_running_loop().time() + KEEP_AGAIN_S
+        else:
+            self._cannot_keep = False
         finally:
             self._saving = None
 
--- /dev/null
+++ b/tests/control/test_keep_disk.py
@@ -0,0 +1,159 @@
+"""Kept files on a disk that refuses, and processes that are killed in the middle of a write."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from covetally.control import keep, manager
+from covetally.control.protocol import digest
+from covetally.control.taking import Held, Memory
+from covetally.membership import keep as membership_keep
+from covetally.operator import files
+from covetally.rig.account import SECOND
+from covetally.rig.managed import Managed
+from covetally.rig.system_faults import Fault, FaultSchedule
+from covetally.rig.world import Shape, World
+from tests.loopback import WAIT_S, until
+from tests.test_process import ROOT
+
+OLD, NEW = b"old" * 1000, b"new" * 2000
+# Replaces a file; the process is killed at its N-th call to the system, or in the middle of it where it writes.
+KILLED = """
+import os, sys
+from pathlib import Path
+from covetally.operator import files
+count, at = 0, int(sys.argv[2])
+
+def dying(real, half):
+    def call(*args):
+        global count
+        count += 1
+        if count == at:
+            half(*args)
+            os._exit(9)
+        return real(*args)
+    return call
+
+class File:
+    def __init__(self, path): self.fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+    def __enter__(self): return self
+    def __exit__(self, *_): os.close(self.fd)
+    def flush(self): pass
+    def fileno(self): return self.fd
+    write = dying(lambda self, data: os.write(self.fd, data),
+                  lambda self, data: os.write(self.fd, data[: len(data) // 2]))
+
+Path.open = dying(lambda self, mode: File(self), lambda self, mode: File(self))
+os.fsync = dying(os.fsync, lambda fd: None)
+os.replace = dying(os.replace, lambda *paths: None)
+files.replace(Path(sys.argv[1]), b"new" * 2000)
+"""
+
+
+@pytest.mark.parametrize("number", range(1, 7))
+def test_a_process_that_is_killed_at_any_call_leaves_the_old_file_or_the_new_one(tmp_path, number):
+    path = tmp_path / "kept"
+    path.write_bytes(OLD)
+    done = subprocess.run([sys.executable, "-c", KILLED, str(path), str(number)], cwd=ROOT, check=False)
+    assert done.returncode == (9 if number <= 5 else 0), "five calls, then it is done"
+    assert path.read_bytes() == (OLD if number <= 4 else NEW)
+    files.replace(path, NEW)
+    assert path.read_bytes() == NEW, "what was left behind is in nobody's way"
+
+
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS])
+@pytest.mark.parametrize("call", ["open", "fsync", "replace"])
+def test_what_the_disk_refuses_is_said_and_the_old_file_stays(tmp_path, monkeypatch, call, number):
+    path = tmp_path / "kept"
+    path.write_bytes(OLD)
+
+    def refuse(*_):
+        raise OSError(number, os.strerror(number))
+
+    with monkeypatch.context() as patched, pytest.raises(OSError) as caught:
+        patched.setattr(Path if call == "open" else os, call, refuse)
+        files.replace(path, NEW)
+    assert caught.value.errno == number and path.read_bytes() == OLD
+    files.replace(path, NEW)
+    assert path.read_bytes() == NEW
+
+
+def test_an_order_that_a_sidecar_cannot_keep_is_refused_and_can_be_had_when_the_disk_is_well():
+    begin_s, end_s = 3.0, 7.0  # after the world was made
+
+    async def main():
+        async with asyncio.timeout(2 * WAIT_S), Managed(Shape(nodes=1, instances=1)) as world:
+            start_ns = time.monotonic_ns()
+            span = (start_ns + int(begin_s * SECOND), start_ns + int(end_s * SECOND))
+            world.instances["a0"].faults = FaultSchedule((Fault("fsync", "ENOSPC", *span),))
+            path = world.instances["a0"].folder / "keep.json"
+            await world.start_agent()
+            await world.start_instances()
+            await world.connected()
+            await asyncio.sleep(max(0.0, (span[0] - time.monotonic_ns()) / SECOND) + 0.1)
+            code, out, _ = await world.command("drain")
+            assert code == 1 and "control.keep cannot be written" in out, out
+            (shown,) = (await world.get("/v1/instances"))["instances"]
+            assert shown["state"] == "serving" and not shown["orders"]["draining"]
+            assert not path.exists() or not keep.read(path).orders.draining
+            await asyncio.sleep(max(0.0, (span[1] - time.monotonic_ns()) / SECOND) + 0.1)
+            assert (await world.command("drain"))[0] == 0
+            assert keep.read(path).orders.draining
+
+    asyncio.run(main())
+
+
+def test_a_trial_that_is_proven_while_the_disk_refuses_is_kept_once_it_is_well(tmp_path, monkeypatch, caplog):
+    """It was said, and never tried again: a crash later on counted against a revision that was good."""
+    path, real, sick = tmp_path / "keep.json", keep.write, [True, True]
+
+    def write(*args):
+        if sick and sick.pop():
+            raise OSError(errno.ENOSPC, "no space left")
+        real(*args)
+
+    async def main():
+        own = {"control.agent": "unix:none", "control.keep": str(path)}
+        platform = SimpleNamespace(name="a0")
+        instance = SimpleNamespace(configuration=SimpleNamespace(own=own, platform=platform))
+        managed = manager.Manager(instance)
+        monkeypatch.setattr(keep, "write", write)
+        monkeypatch.setattr(manager, "KEEP_AGAIN_S", 0.02)
+        managed._memory = Memory(trial=Held(1, digest({}), {}))
+        await managed._proven()
+        await until(path.exists)
+        assert keep.read(path).memory.good.revision == 1
+        assert caplog.text.count("make room on the disk") == 1
+
+    asyncio.run(main())
+
+
+def test_a_roster_that_changes_while_the_disk_refuses_is_kept_once_it_is_well():
+    end_s = 4.0  # after the world was made
+
+    async def main():
+        async with asyncio.timeout(2 * WAIT_S), World(Shape(nodes=2, instances=1)) as world:
+            end_ns = time.monotonic_ns() + int(end_s * SECOND)
+            instance = world.instances["a0"]
+            kept, operator = instance.folder / "roster.json", instance.folder / "operator.toml"
+            operator.write_text(f'[roster]\nsource = "platform"\nkeep = "{kept}"\n')
+            instance.arguments = ("--operator", str(operator))
+            instance.faults = FaultSchedule((Fault("fsync", "EIO", 0, end_ns),))
+            await world.start_instances()
+            await asyncio.sleep(max(0.0, (end_ns - time.monotonic_ns()) / SECOND) - 0.5)
+            assert not kept.exists() and "roster.keep" in instance.log
+            await until(kept.exists)
+            members, _ = membership_keep.read(kept)
+            assert sorted(member.id for member in members) == ["n0", "n1"]
+            assert instance.log.count("make room on the disk") == 1
+
+    asyncio.run(main())
