Put a server that restarted since the process before into slow start, whatever the clock

Change: what differs from the list of the process before counts as just told, as a later list's entries do. Measured: a new test in tests/test_balance.py fails on the code before. Left: a process without a known list.

--- a/covetally/policy/roster.py
+++ b/covetally/policy/roster.py
@@ -46,8 +46,9 @@
 
     The wall clocks of the machines may be off by an hour, each way, and this one's was read at the process's
     start. A start that has not come yet, or one that the list has only now and that would be long over, shows
-    that the clocks disagree: then the server counts as started now, which can only be too late. It costs a server
-    that was told of late a slow start that it did not need.
+    that the clocks disagree: then the server counts as started now, which can only be too late. The first list of
+    a process has only now what differs from the list of the process before it. It costs a server that was told of
+    late a slow start that it did not need.
     """
     if told > now or (just_told and 0 < told < now - LONGEST_NEWS):
         return now
@@ -61,10 +62,12 @@
         server = b.servers[entry.server] = Server(entry, b.figure)
     server.zone, server.kind, server.cell = entry.zone, entry.kind, entry.cell
     if entry.started_ns != server.told_start:
-        if server.told_start >= 0:
+        restarted = server.told_start >= 0
+        if restarted:
             server.reset()  # verdicts on the old process say nothing of the new one
         server.told_start = entry.started_ns
-        server.started = max(server.started, start_of(now, entry.started_ns, b.listed))
+        just_told = b.listed or restarted
+        server.started = max(server.started, start_of(now, entry.started_ns, just_told))
     server.up = entry.lifecycle == "up"
     server.gone = entry.lifecycle == "removed"
     b.refresh(server)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -342,6 +342,14 @@
     assert paper.server("s0").bad == 0.0 and paper.server("s0").started == paper.now
 
 
+def test_a_restart_since_the_list_of_the_process_before_is_a_slow_start_under_a_clock_that_is_ahead():
+    """A process whose own clock is an hour ahead took a server that had just started for warm."""
+    paper = late_paper()
+    paper.feed(Directory("SAVED", fleet(2)))
+    paper.feed(Directory("FULL", (*fleet(1, started_ns=paper.now - HOUR), *fleet(2)[1:])))
+    assert paper.server("s0").started == paper.now and paper.server("s1").started == 0
+
+
 def test_what_a_first_list_tells_of_starts_long_ago_is_believed():
     paper = late_paper()
     for scope in ("SAVED", "FULL"):
