Bring a request's calls back to what they were: stages and turns without wrappers

Cause: the whole suite in a fresh clone failed in test_a_request_costs_no_more_calls_than_it_did, 134.4 calls a request where 128 are the most: draining and refusing had become properties of properties, and due, busy one call more each, with the drain's stages and the split of net/frontend.py. Change: DrainStage keeps what is read with every request as attributes; clients reach turns and the eviction order directly.

--- a/covetally/net/client.py
+++ b/covetally/net/client.py
@@ -98,7 +98,7 @@
         self._timer: Timer | None = None
         self._timer_at = 0.0
         self.stream = Stream(httptools.HttpRequestParser, sock, self._news, self._room)
-        self._wait_for(REFUSED_REQUEST_S if host.refusing else REQUEST_S)
+        self._wait_for(REFUSED_REQUEST_S if host.drain_stage.refusing else REQUEST_S)
 
     def silent(self) -> bool:
         """Whether nothing of a request has come, as far as the kernel knows."""
@@ -202,7 +202,7 @@
             stream.drop()
             self.surplus = True
         elif phase is READING:
-            if self._host.due(self):
+            if self._host.turns.due(self):
                 self.go_on()
         elif stream.eof:
             self.close(CloseReason.CLIENT_LEFT)
@@ -233,7 +233,7 @@
             return False
         age_ns = time.monotonic_ns() - self.stream.received_at
         refusal = self._host.sidecar.glance(age_ns, b"\r\nx-second-try: 1\r\n" in low)
-        if not refusal or self._host.draining:
+        if not refusal or self._host.drain_stage.draining:
             self._let_in = True
             return False
         self.stream.drop()
@@ -309,10 +309,10 @@
         host.busy(self)
         self._phase = WAITING
         if arrival is None:
-            status = 503 if host.draining else 200
+            status = 503 if host.drain_stage.draining else 200
             self.finish(Answer(status, TEXT, f"{host.state}\n".encode() if status == 503 else b"ok\n"))
             return
-        if host.refusing:
+        if host.drain_stage.refusing:
             self.finish(refused(host.refusal_ns))
             return
         if host.gate is not None and (hold_off_ns := host.gate.admit(self, arrival.tenant)):
@@ -357,7 +357,7 @@
         self._release()
         stream = self.stream
         # What is left over came before this answer.
-        self._last = self._host.draining or stream.leftover or self.surplus
+        self._last = self._host.drain_stage.draining or stream.leftover or self.surplus
         headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
         if self._last or not stream.persistent:
             headers.append((b"connection", b"close"))
@@ -404,7 +404,7 @@
             self.in_message = False
             self._phase = READING
             # One that was being written when the drain began did not say that it is the last.
-            self._wait_for(HALF_SENT_S if self._host.draining else IDLE_S)
+            self._wait_for(HALF_SENT_S if self._host.drain_stage.draining else IDLE_S)
             self._host.idle(self)
             if self._host.gate is not None:
                 self._host.gate.idle(self)
--- a/covetally/net/drain_stage.py
+++ b/covetally/net/drain_stage.py
@@ -35,19 +35,15 @@
     """The stage and when it changes by itself. All times are seconds, moments on one monotonic clock."""
 
     def __init__(self) -> None:
-        self.stage = Stage.SERVING
         self._refuses_at = 0.0
         self._drained_at = 0.0
+        self._enter(Stage.SERVING)
 
-    @property
-    def draining(self) -> bool:
-        """Whether clients are told to stay away."""
-        return self.stage is not Stage.SERVING
-
-    @property
-    def refusing(self) -> bool:
-        """Whether new requests are refused by an order."""
-        return self.stage in (Stage.REFUSING, Stage.DRAINED)
+    def _enter(self, stage: Stage) -> None:
+        self.stage = stage
+        # Read with every request, so kept and not worked out each time.
+        self.draining = stage is not Stage.SERVING  # clients are told to stay away
+        self.refusing = stage in (Stage.REFUSING, Stage.DRAINED)  # new requests are refused, by an order
 
     @property
     def shown(self) -> str:
@@ -64,7 +60,7 @@
         if self.stage is not Stage.SERVING and drained_at >= self._drained_at:
             return False
         if self.stage is Stage.SERVING:
-            self.stage = Stage.DRAINING
+            self._enter(Stage.DRAINING)
         self._drained_at = drained_at
         self._refuses_at = drained_at - longest_s - ANSWERING_S
         return True
@@ -72,18 +68,18 @@
     def restore(self) -> None:
         """A process that starts under an order to drain holds nothing yet: it is drained from the beginning."""
         if self.stage is Stage.SERVING:
-            self.stage = Stage.DRAINED
+            self._enter(Stage.DRAINED)
 
     def resume(self) -> bool:
         """An order to serve again; whether it changes anything. An end is not taken back."""
         if self.stage in (Stage.SERVING, Stage.ENDING):
             return False
-        self.stage = Stage.SERVING
+        self._enter(Stage.SERVING)
         return True
 
     def end(self) -> None:
         """The process ends."""
-        self.stage = Stage.ENDING
+        self._enter(Stage.ENDING)
 
     def due(self) -> float | None:
         """When `advance` has something to do; None if never."""
@@ -96,5 +92,5 @@
         due = self.due()
         if due is None or now < due:
             return False
-        self.stage = Stage.REFUSING if self.stage is Stage.DRAINING else Stage.DRAINED
+        self._enter(Stage.REFUSING if self.stage is Stage.DRAINING else Stage.DRAINED)
         return True
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -72,13 +72,14 @@
         self.sidecar = sidecar
         self.wheel = sidecar.wheel
         self.budget = BodyBudget(body_memory)
-        self._drain = DrainStage()
+        self.drain_stage = DrainStage()
         self._drain_timer: asyncio.TimerHandle | None = None  # for the next stage of a drain by order
         self.closed: Counter[CloseReason] = Counter()  # connections, by why
         self.gate: Gate | None = None  # caps on tenants' connections, where there are any
         self.retune(settings, limit, body_memory)
         self._clients: dict[Client, None] = {}
         self._order = EvictionOrder()
+        self.busy = self._order.discard  # see `Host`
         self._room_timer: asyncio.TimerHandle | None = None  # when a newcomer may be closed for the next one
         self._ids = RecentIds(max(c.deadline_ns for c in settings.classes) / SECOND)
         self._listener: socket.socket
@@ -87,7 +88,7 @@
         self._drained = asyncio.Event()
         self.shed = 0  # requests refused at a glance, unread
         self.upgrades: Upgrades | None = None
-        self._turns = Turns(sidecar)
+        self.turns = Turns(sidecar)
 
     def retune(self, settings: Settings, limit: int, body_memory: int) -> None:
         """Keep to these from here on. Connections beyond a lower limit go as they fall idle, none before."""
@@ -214,10 +215,6 @@
             self._drained.set()
         self._resume()
 
-    def due(self, client: Client) -> bool:
-        """Whether a client's news is to be read now; else it is told to go on when its turn comes."""
-        return self._turns.due(client)
-
     # --- what connections tell ------------------------------------------------------------------
 
     def idle(self, client: Client) -> None:
@@ -239,10 +236,6 @@
                 longest.close(CloseReason.IDLE_LIMIT)
         self._resume()
 
-    def busy(self, client: Client) -> None:
-        """It must not be closed to make room."""
-        self._order.discard(client)
-
     def lingers(self, client: Client) -> None:
         """It has had its last answer: it goes first when room is needed.
 
@@ -267,35 +260,25 @@
 
     # --- the end --------------------------------------------------------------------------------
 
-    @property
-    def draining(self) -> bool:
-        """Whether each answer is the last on its connection."""
-        return self._drain.draining
-
-    @property
-    def refusing(self) -> bool:
-        """Whether new requests are refused, by an order to drain."""
-        return self._drain.refusing
-
     @property
     def state(self) -> str:
         """serving, draining or drained."""
-        return self._drain.shown
+        return self.drain_stage.shown
 
     def drain_by_order(self, within_s: float | None = None) -> None:
         """Tell clients to stay away, and hold none of their connections and requests after so many seconds, the
         longest deadline and a margin at least (see `DrainStage`)."""
-        if self._drain.drain(asyncio.get_running_loop().time(), within_s, self._longest_s):
+        if self.drain_stage.drain(asyncio.get_running_loop().time(), within_s, self._longest_s):
             self._close_silent_but_newcomers()
             self._await_stage()
 
     def start_drained(self) -> None:
         """Refuse whatever comes from the beginning on, until `resume`."""
-        self._drain.restore()
+        self.drain_stage.restore()
 
     def resume(self) -> None:
         """Serve again."""
-        if self._drain.resume():
+        if self.drain_stage.resume():
             self._await_stage()
 
     def _await_stage(self) -> None:
@@ -303,14 +286,14 @@
             self._drain_timer.cancel()
             self._drain_timer = None
         log.info("%s, with %d connections", self.state, len(self._clients))
-        due = self._drain.due()
+        due = self.drain_stage.due()
         if due is not None:
             self._drain_timer = asyncio.get_running_loop().call_at(due, self._next_stage)
 
     def _next_stage(self) -> None:
-        if self._drain.advance(asyncio.get_running_loop().time()):
+        if self.drain_stage.advance(asyncio.get_running_loop().time()):
             self._close_silent_but_newcomers()
-            if self._drain.stage is Stage.DRAINED:
+            if self.drain_stage.stage is Stage.DRAINED:
                 self._close_all_but_newcomers()
         self._await_stage()
 
@@ -338,7 +321,7 @@
         began = asyncio.get_running_loop().time()
         times = times_within(within_s)
         answered_by, closed_by = began + times.answered_s, began + times.closed_s
-        self._drain.end()
+        self.drain_stage.end()
         if self._drain_timer is not None:
             self._drain_timer.cancel()
         self.sidecar.end_by(answered_by)
--- a/covetally/net/host.py
+++ b/covetally/net/host.py
@@ -6,9 +6,11 @@
 
 from covetally.net.budget import BodyBudget
 from covetally.net.closing import CloseReason
+from covetally.net.drain_stage import DrainStage
 from covetally.net.heads import Heads
 from covetally.net.seams import Gate, Upgrades
 from covetally.net.sidecar import Sidecar
+from covetally.net.turns import Turns
 from covetally.net.wheel import Wheel
 
 if TYPE_CHECKING:
@@ -24,24 +26,15 @@
     heads: Heads
     gate: Gate | None
     upgrades: Upgrades | None
+    drain_stage: DrainStage
+    turns: Turns
     shed: int
     refusal_ns: int  # after a refusal by order its client may come back no sooner
 
-    @property
-    def draining(self) -> bool:
-        """Whether each answer is the last on its connection."""
-
-    @property
-    def refusing(self) -> bool:
-        """Whether new requests are refused, by an order to drain."""
-
     @property
     def state(self) -> str:
         """serving, draining or drained."""
 
-    def due(self, client: Client) -> bool:
-        """Whether its news is to be read now; else it is told to `go_on` later."""
-
     def busy(self, client: Client) -> None:
         """It must not be closed to make room."""
 
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -263,14 +263,14 @@
         async with place(fine) as here:
             await warm(here)
             asks = client(here)
-            due, found = here.frontend.due, []
+            due, found = here.frontend.turns.due, []
 
             def late(connection):
                 found.append(due(connection))
                 leave(asks, "end")  # after it was read, before its turn
                 return found[-1]
 
-            here.frontend.due = late
+            here.frontend.turns.due = late
             asks.send(request("gone"))
             await until(lambda: found)
             assert found[0] is False
