End a pause between calls to discovery when an answer comes in it

A kept call that was answered while the next one was being waited for began a watch and left the pause's timer running, which asked once more beside it. Change: the pause ends with the next call, which asserts that no other is within its patience. Measured: tests/crossings/test_list.py, a new case has two watches at a time on the code before, one now.

--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -90,9 +90,7 @@
         """End the watch."""
         self._state = State.IDLE
         self._close_calls()
-        if self._pause is not None:
-            self._pause.cancel()
-            self._pause = None
+        self._end_pause()
         if self._connection is not None:
             self._connection.close()
             self._connection = None
@@ -120,9 +118,11 @@
     # --- calls ----------------------------------------------------------------------------------
 
     def _ask(self) -> None:
-        """Send the next call."""
+        """Send the next call; it is the only one within its patience."""
+        assert self._newest is None
         loop = asyncio.get_running_loop()
-        self._state, self._pause = State.ASKING, None
+        self._state = State.ASKING
+        self._end_pause()
         terms = asking.call(self._pushed, self._index is not None, self._failing, self._grace_s)
         target = PATH if terms.wait_ms < 0 else f"{PATH}?index={self._index}&wait={terms.wait_ms}"
         call = DiscoveryCall(self._address, target, self._take_connection())
@@ -131,6 +131,11 @@
         self._newest = found = _OpenCall(call, terms, loop.time(), task, timer)
         task.add_done_callback(partial(self._ended, found))
 
+    def _end_pause(self) -> None:
+        if self._pause is not None:
+            self._pause.cancel()
+            self._pause = None
+
     def _take_connection(self) -> Waiting | None:
         connection, self._connection = self._connection, None
         if connection is not None and connection.disturbed():
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -145,3 +145,39 @@
             server.stop()
 
     asyncio.run(main())
+
+
+def test_an_answer_that_comes_in_a_pause_between_calls_is_followed_by_one_watch_and_no_more():
+    """The pause's end asked once more beside that watch, whose time then ran out with no call of its own."""
+
+    async def main():
+        state = {"calls": 0, "watching": 0, "most": 0}
+
+        async def discover(server, got, reader, writer):
+            state["calls"] += 1
+            if state["calls"] == 1:
+                await asyncio.sleep(0.6)  # longer than a look's patience; the calls beside it fail at once
+                writer.write(members(3, "active"))
+            elif b"wait=2000" not in got:
+                writer.write(answer(b"", b"503 Busy"))
+            else:
+                state["watching"] += 1
+                state["most"] = max(state["most"], state["watching"])
+                await asyncio.sleep(0.2)
+                state["watching"] -= 1
+                writer.write(members(3, whole=False))
+
+        async with place(more={"invariants": {"drainGraceNs": 500 * MS}}) as here:
+            server = Server(discover)
+            await server.start()
+            told: list[ListUpdate] = []
+            discovery = Discovery(here.sidecar._balancer.book.settings, server.address)
+            discovery.on_list = told.append
+            discovery.start()
+            await until(lambda: told)
+            await asyncio.sleep(1.0)
+            assert state["most"] == 1
+            discovery.stop()
+            server.stop()
+
+    asyncio.run(main())
