--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -9,21 +9,20 @@
 
 import asyncio
 import contextlib
-import copy
 import logging
 import time
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import replace
-from functools import partial
 from typing import Any
 
 from covetally.control.protocol import Message, digest
-from covetally.fleet import preflight, registry, rollout
+from covetally.fleet import registry, rollout
 from covetally.fleet.asks import PING_S, Asks
 from covetally.fleet.audit import Audit
-from covetally.fleet.document import Document, Layer, changed_keys, difference, taken_back
+from covetally.fleet.document import changed_keys, taken_back
+from covetally.fleet.drafts import Drafts, recovered_document
 from covetally.fleet.drains import Drains, Wanted
 from covetally.fleet.freezes import Freezes
+from covetally.fleet.ledger import Ledger
 from covetally.fleet.links import Link
 from covetally.fleet.orders import OrderBook
 from covetally.fleet.refused import Refused
@@ -34,8 +33,6 @@
 from covetally.fleet.steady_clock import SteadyClock
 from covetally.fleet.store import CannotKeepError, Revision, RolloutRow, Store
 from covetally.fleet.watchers import Watchers
-from covetally.operator import check
-from covetally.operator.schema import Values
 
 log = logging.getLogger(__name__)
 
@@ -61,16 +58,13 @@
         self.instances: dict[str, Instance] = {
             name: registry.from_row(name, row) for name, row in store.instances().items()
         }
-        self._running: dict[int, Running] = {}
-        self._dirty: set[str] = set()
-        self._todo: list[tuple[Running, Any]] = []
         self._outbox: list[tuple[Running, Send | Restart]] = []  # to be carried out once the store has it all
-        self._settled = self._settled_kept = int(store.get("settled", "0"))
         self._cannot_keep = False  # the disk did not take what was last written
         self._flush_timer: asyncio.TimerHandle | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
         self.supervised: Callable[[], list[dict[str, Any]]] = list
         self.watchers = Watchers(self._rollout_table)
+        self._ledger = Ledger(store, self.instances, self.watchers.changed)
         self.started = time.time()
         self._recover_until = 0.0
         self.recovered = store.get("recovered") == "yes"
@@ -79,6 +73,7 @@
         self._keep_clock()
         self.orders = OrderBook(store)
         self.asks = Asks(self.instances, self.orders, self.clock)
+        self.drafts = Drafts(store, self.instances, self.asks)
         self.drains = Drains(store, self.asks, audit.write, self.clock)
         self._opened = False
 
@@ -97,8 +92,8 @@
         for row in reversed(self._store.rollouts(limit=MAX_ENDED)):
             found = rollout.from_tables(row.number, row.head, self._store.members(row.number), now)
             queued = bool(row.head.get("queued"))
-            self._running[row.number] = Running(found, row, parse(row.selector), queued)
-        for running in list(self._running.values()):
+            self._ledger.running[row.number] = Running(found, row, parse(row.selector), queued)
+        for running in list(self._ledger.running.values()):
             if running.active and not running.queued:
                 self._do(running, running.rollout.start(now))
         self._opened = True
@@ -168,11 +163,11 @@
         instance.beat(self._now(), self.clock.now(), beat)
         self.orders.reported(instance.name, hello.get("orders"), self.clock.now())
         link.welcome(self.orders.of(instance.name))
-        self._dirty.add(instance.name)
+        self._ledger.dirty.add(instance.name)
         epoch = hello.get("epoch")
         self.drains.hello(epoch if isinstance(epoch, int) else 0)
         failed, reason = str(hello.get("failed", "")), str(hello.get("reason", ""))[:500]
-        for running in self._running.values():
+        for running in self._ledger.running.values():
             if instance.name in running.rollout.members and not running.queued:
                 actions = running.rollout.connected(
                     self._now(), instance.name, instance.boot, instance.digest, instance.holds, failed, reason
@@ -207,7 +202,7 @@
                 instance.left = str(message["reason"])[:200] or "ended"
                 for running in self._of(instance):
                     self._do(running, running.rollout.left(now, instance.name, instance.left))
-                self._dirty.add(instance.name)
+                self._ledger.dirty.add(instance.name)
                 self._soon()
 
     def _compare_orders(self, instance: Instance, beat: Message) -> None:
@@ -233,7 +228,7 @@
             instance.note = f"refused revision {message['revision']}: {text}"[:500]
         else:
             instance.note = f"revision {message['revision']} waits for a restart: {', '.join(keys)}"[:500]
-        self._dirty.add(instance.name)
+        self._ledger.dirty.add(instance.name)
         for running in self._of(instance):
             actions = running.rollout.acked(
                 self._now(), instance.name, offered, outcome, instance.digest, errors, keys, instance.keeps
@@ -249,13 +244,13 @@
         instance.link = None
         for running in self._of(instance):
             self._do(running, running.rollout.lost(self._now(), instance.name, reason))
-        self._dirty.add(instance.name)
+        self._ledger.dirty.add(instance.name)
         self._soon()
         self.watchers.tell({"instance": instance.name, "connected": False, "reason": reason})
 
     def _of(self, instance: Instance) -> list[Running]:
         """The rollouts that an instance is in and that may still have to know of it."""
-        return [r for r in self._running.values() if not r.queued and instance.name in r.rollout.members]
+        return [r for r in self._ledger.running.values() if not r.queued and instance.name in r.rollout.members]
 
     # --- what an instance in no rollout is to have -------------------------------------------------
 
@@ -264,28 +259,28 @@
         if not self._opened or self._recovering() or not instance.connected:
             return
         if instance.assigned < 0:
-            instance.assigned = self._settled
-            self._dirty.add(instance.name)
-            for running in list(self._running.values()):
+            instance.assigned = self._ledger.settled
+            self._ledger.dirty.add(instance.name)
+            for running in list(self._ledger.running.values()):
                 r, meant = running.rollout, running.selector.matches(instance.name, instance.labels)
                 going = running.active and not running.queued and r.phase is not Phase.UNDOING
                 if going and r.kind == "change" and meant:
                     self._do(running, r.join(self._now(), self._member(instance, running.row.revision, 0)))
-        if any(r.active and instance.name in r.rollout.members for r in self._running.values()):
+        if any(r.active and instance.name in r.rollout.members for r in self._ledger.running.values()):
             return
         if instance.due[0] != instance.assigned:
-            instance.due = (instance.assigned, str(self.wanted(instance).get("digest", "")))
+            instance.due = (instance.assigned, str(self.drafts.wanted(instance).get("digest", "")))
         wanted = instance.due[1]
         if wanted == failed:
             instance.note = f"revision {instance.assigned}: {reason}"
-            self._dirty.add(instance.name)
+            self._ledger.dirty.add(instance.name)
             instance.answered = (instance.boot, wanted)
         if not wanted:
             return
         if instance.digest == wanted and not instance.holds:
             if instance.note and not failed:
                 instance.note = ""
-                self._dirty.add(instance.name)
+                self._ledger.dirty.add(instance.name)
                 self._soon()
             return
         if (instance.boot, wanted) in (instance.offered, instance.answered):
@@ -301,41 +296,41 @@
 
     def _recover(self) -> None:
         """The store was new: what instances report becomes the desired state."""
-        self._recover_until = 0.0
-        reports = {i.name: i for i in self.instances.values() if i.connected and i.revision > 0}
+        reports = [i for i in self.instances.values() if i.connected and i.revision > 0]
         if reports and self._store.head().number == 0:
-            by_digest: dict[str, list[Instance]] = {}
-            for instance in reports.values():
-                by_digest.setdefault(instance.digest, []).append(instance)
-            most = max(by_digest.values(), key=lambda found: (len(found), found[0].name))
-            layers = [Layer(Selector(), dict(most[0].values))] if most[0].values else []
-            for instance in sorted(reports.values(), key=lambda i: i.name):
-                if instance.digest != most[0].digest:
-                    # A layer for one: it says everything that this instance has and the others have not.
-                    layers.append(Layer(parse(f"name={instance.name}"), dict(instance.values)))
-            number = max(i.revision for i in reports.values())
-            made = Document(tuple(layers))
-            text = f"recovered from what {len(reports)} instances reported"
-            revision = Revision(number, 0, time.time(), "agent", text, "", made.digest(), made)
-            with self._store.transaction():
-                self._store.add_revision(revision)
-                self._store.set("settled", str(number))
-                self._store.set("recovered", "yes")
-            self._settled = self._settled_kept = number
-            self.recovered = True
-            log.warning("the store was lost: revision %d %s", number, text)
-            self._audit.write("agent", "recover", revision=number, instances=len(reports))
-            for instance in reports.values():
-                instance.assigned = number
-                self._dirty.add(instance.name)
+            try:
+                self._recover_from(reports)
+            except CannotKeepError as error:  # nobody may change anything until it is kept
+                log.error("%s", error.line())
+                self._recover_until = self._now() + KEEP_AGAIN_S
+                asyncio.get_running_loop().call_later(KEEP_AGAIN_S, self._recover)
+                return
+        self._recover_until = 0.0
         for instance in list(self.instances.values()):
             self._place(instance)
         self._try_to_flush()
 
+    def _recover_from(self, reports: list[Instance]) -> None:
+        number = max(instance.revision for instance in reports)
+        made = recovered_document(reports)
+        text = f"recovered from what {len(reports)} instances reported"
+        revision = Revision(number, 0, time.time(), "agent", text, "", made.digest(), made)
+        with self._store.transaction():
+            self._store.add_revision(revision)
+            self._store.set("recovered", "yes")
+            self._ledger.settled = number
+            for instance in reports:
+                instance.assigned = number
+                self._ledger.dirty.add(instance.name)
+            self._save()
+        self.recovered = True
+        log.warning("the store was lost: revision %d %s", number, text)
+        self._audit.write("agent", "recover", revision=number, instances=len(reports))
+
     # --- carrying out -----------------------------------------------------------------------------
 
     def _do(self, running: Running, actions: list[Any]) -> None:
-        self._todo += [(running, action) for action in actions]
+        self._ledger.todo += [(running, action) for action in actions]
         running.undo_due |= any(isinstance(action, UndoWanted) for action in actions)
         if actions or running.rollout.dirty:
             self._soon()
@@ -380,69 +375,24 @@
     def _decide(self) -> None:
         """What follows from what has happened: instances to be told something, rollouts that end or begin."""
         self._ended_ones()
-        while self._todo:
-            running, action = self._todo[0]
+        while self._ledger.todo:
+            running, action = self._ledger.todo[0]
             if isinstance(action, UndoWanted):
                 self._undo_by_itself(running, action.reason)  # it stays to be done where it cannot be kept
-                self._todo.remove((running, action))
+                self._ledger.todo.remove((running, action))
             else:
-                self._todo.pop(0)
+                self._ledger.todo.pop(0)
                 self._outbox.append((running, action))
                 if isinstance(action, Send) and action.name in self.instances:
                     row = running.row
                     assigned = row.undo_revision if action.undo else row.revision
                     self.instances[action.name].assigned = assigned
-                    self._dirty.add(action.name)
-            if not self._todo:
+                    self._ledger.dirty.add(action.name)
+            if not self._ledger.todo:
                 self._ended_ones()
 
     def _save(self) -> None:
-        """Write what the store lacks; it counts as written once the transaction is on disk."""
-        now = self._now()
-        with self._store.transaction():
-            for running in self._running.values():
-                head, members = rollout.to_tables(running.rollout, now)
-                head["queued"] = running.queued
-                changed = {k: v for k, v in head.items() if k != "spent"} != {
-                    k: v for k, v in running.row.head.items() if k != "spent"
-                }
-                if members or changed:
-                    self._store.save_rollout(replace(running.row, head=head), members)
-                    self._store.on_commit(partial(self._rollout_saved, running, head))
-            rows = {name: self.instances[name].row() for name in self._dirty if name in self.instances}
-            if rows:
-                self._store.save_instances(rows)
-            if self._settled != self._settled_kept:
-                self._store.set("settled", str(self._settled))
-            self._store.on_commit(self._instances_saved)
-
-    def _rollout_saved(self, running: Running, head: dict[str, Any]) -> None:
-        running.row.head = head
-        running.rollout.dirty.clear()
-        self.watchers.changed(running.rollout.number)
-
-    def _instances_saved(self) -> None:
-        self._dirty.clear()
-        self._settled_kept = self._settled
-
-    @contextlib.contextmanager
-    def _all_or_nothing(self, *touched: Running) -> Iterator[None]:
-        """A transaction of the store, and of the rollouts that it touches.
-
-        CannotKeepError where the disk does not take it: nothing of it was done here either.
-        """
-        before = [(running, replace(running, row=replace(running.row)), copy.deepcopy(running.rollout))
-                  for running in touched]  # fmt: skip
-        known, todo = dict(self._running), list(self._todo)
-        try:
-            with self._store.transaction():
-                yield
-        except CannotKeepError:
-            self._running, self._todo = known, todo
-            for running, old, its_rollout in before:
-                running.rollout, running.row = its_rollout, old.row
-                running.queued, running.undo_due = old.queued, old.undo_due
-            raise
+        self._ledger.save(self._now())
 
     def _carry_out(self, running: Running, action: Send | Restart) -> None:
         instance = self.instances.get(action.name)
@@ -476,41 +426,45 @@
             self._tick_timer.cancel()
             self._tick_timer = None
         now = self._now()
-        dues = [d for r in self._running.values() if not r.queued and (d := r.rollout.next_due(now)) is not None]
+        dues = [
+            d
+            for r in self._ledger.running.values()
+            if not r.queued and (d := r.rollout.next_due(now)) is not None
+        ]
         if dues:
             self._tick_timer = asyncio.get_running_loop().call_later(max(0.01, min(dues)), self._tick)
 
     def _tick(self) -> None:
         self._tick_timer = None
         now = self._now()
-        for running in list(self._running.values()):
+        for running in list(self._ledger.running.values()):
             if running.active and not running.queued:
                 self._do(running, running.rollout.tick(now))
         self._try_to_flush()
 
     def _ended_ones(self) -> None:
         """Draw the line under rollouts that have ended, and begin those that waited for them."""
-        for running in list(self._running.values()):
+        for running in list(self._ledger.running.values()):
             r, row = running.rollout, running.row
             if running.queued or not r.ended or row.ended:
                 continue
             row.ended = True
             revision = row.undo_revision if r.phase is Phase.UNDONE else row.revision
             if r.kind == "change" and r.phase in (Phase.DONE, Phase.INCOMPLETE, Phase.UNDONE):
-                self._settled = max(revision, self._settled)
+                self._ledger.settled = max(revision, self._ledger.settled)
                 for member in r.members.values():
                     if member.state is not State.REFUSED and member.name in self.instances:
                         self.instances[member.name].assigned = revision
-                        self._dirty.add(member.name)
+                        self._ledger.dirty.add(member.name)
             missing = [m.name for m in r.missing()]
             log.info("rollout %d: %s, %d missing", r.number, r.phase.value, len(missing))
             self._audit.write(
                 "agent", "rollout ended", rollout=r.number, phase=r.phase.value, missing=missing[:1000]
             )
-        old = [n for n, r in self._running.items() if not r.active]
+        old = [n for n, r in self._ledger.running.items() if not r.active]
         for number in old[:-MAX_ENDED]:
-            del self._running[number]
-        for running in list(self._running.values()):
+            del self._ledger.running[number]
+        for running in list(self._ledger.running.values()):
             if running.queued and not self._overlapping(running.selector, running.rollout.number):
                 running.queued = False
                 self._begin(running)
@@ -546,12 +500,12 @@
 
     def rollouts(self) -> list[Running]:
         """Those in memory, the newest first."""
-        return sorted(self._running.values(), key=lambda r: -r.rollout.number)
+        return sorted(self._ledger.running.values(), key=lambda r: -r.rollout.number)
 
     def running(self, number: int) -> Running:
         """One rollout, from the store if it is old; Refused if there is none."""
-        if number in self._running:
-            return self._running[number]
+        if number in self._ledger.running:
+            return self._ledger.running[number]
         row = self._store.rollout(number)
         if row is None:
             raise Refused("unknown", f"there is no rollout {number}")
@@ -566,46 +520,9 @@
         self, who: str, parent: int, reason: str, selector: str, put: Mapping[str, Any] | None,
         set_: Mapping[str, Any], unset: list[str],
     ) -> Draft:  # fmt: skip
-        """The revision that a change would make on top of `parent`, not written; Refused if it cannot be made.
-
-        `put` replaces the layer of `selector`, else `set_` and `unset` change it.
-        """
+        """See `Drafts.draft`; Refused while the agent recovers, too."""
         self._ready()
-        meant = self._selector(selector)
-        head = self._store.head()
-        if parent != head.number:
-            raise self._conflict(parent, head)
-        layer = dict(put) if put is not None else head.document.layer(meant)
-        if put is None:
-            missing = [key for key in unset if key not in layer]
-            if missing:
-                raise Refused("bad_input", f"{missing[0]} is not set for {selector or 'all'}")
-            layer = {k: v for k, v in (layer | dict(set_)).items() if k not in unset}
-        values = self._checked(layer)
-        made = head.document.replaced(meant, values)
-        changes = difference(head.document, made)
-        if not changes:
-            raise Refused("bad_input", "this changes nothing", head=head.number)
-        self._check_effective(made)
-        number = self._next_revision(head)
-        revision = Revision(number, head.number, time.time(), who, reason, str(meant), made.digest(), made)
-        affected = [i for i in self.instances.values() if meant.matches(i.name, i.labels)]
-        return Draft(revision, meant, changes, affected)
-
-    def preview(self, draft: Draft) -> dict[str, Any]:
-        """What a draft would do to each instance."""
-        would = self._would(draft.affected, draft.revision)
-        return {"dry_run": True, "revision": draft.revision.number, "changes": draft.changes, "would": would}
-
-    async def preflight(self, draft: Draft) -> preflight.Found:
-        """Ask each instance that a draft means whether it would take it."""
-        document = draft.revision.document
-        wanted = {i.name: document.effective(i.name, i.labels) for i in draft.affected if not i.left}
-
-        async def one(name: str) -> Any:
-            return await self.asks.answer_of(name, "would", values=wanted[name])
-
-        return preflight.judge(await preflight.ask_all(wanted, one))
+        return self.drafts.draft(who, parent, reason, self._selector(selector), put, set_, unset)
 
     def change(self, draft: Draft, who: str, reason: str, plan: Plan, overlap: str) -> dict[str, Any]:
         """Write a draft as a revision and roll it out; Refused if somebody was first, or a rollout is in its
@@ -614,11 +531,11 @@
         self._not_frozen(draft.meant, who)
         revision, meant, changes, affected = draft.revision, draft.meant, draft.changes, draft.affected
         if revision.parent != self._store.head().number:  # while the instances were asked
-            raise self._conflict(revision.parent, self._store.head())
+            raise self.drafts.conflict(revision.parent, self._store.head())
         blocking = self._overlapping(meant)
         if blocking and overlap == "refuse":
             raise self._busy(blocking)
-        with self._all_or_nothing(*blocking):
+        with self._ledger.all_or_nothing(*blocking):
             self._store.add_revision(revision)
             if overlap == "supersede":
                 self._supersede(blocking)
@@ -648,7 +565,7 @@
         blocking = self._overlapping(meant)
         if blocking:
             raise self._busy(blocking)
-        with self._all_or_nothing():
+        with self._ledger.all_or_nothing():
             running = self._make("restart", self._store.head(), meant, who, reason, plan, found)
             self._begin(running)
             self._save()
@@ -711,7 +628,7 @@
         elif running.queued and what == "abort":
             running.queued = False
             self._do(running, r.abort(now, text))
-        elif number in self._running and what in ("pause", "resume", "abort"):
+        elif number in self._ledger.running and what in ("pause", "resume", "abort"):
             step = {"pause": lambda: r.pause(now, text), "resume": lambda: r.resume(now),
                     "abort": lambda: r.abort(now, text)}[what]  # fmt: skip
             self._do(running, step())
@@ -735,15 +652,6 @@
         self._audit.write(who, what, selector=selector, instances=[i.name for i in found][:1000])
         return list(await asyncio.gather(*(self.asks.do(i, what, who, within_s) for i in found)))
 
-    def wanted(self, instance: Instance) -> dict[str, Any]:
-        """What an instance is to have, and which layer says so."""
-        revision = self._store.revision(max(0, instance.assigned))
-        if revision is None:
-            return {}
-        values = revision.document.effective(instance.name, instance.labels)
-        origin = revision.document.origin(instance.name, instance.labels)
-        return {"revision": revision.number, "digest": digest(values), "values": values, "origin": origin}
-
     def forget(self, who: str, name: str) -> None:
         """Know nothing more of an instance that is away; Refused if it is not."""
         instance = self.instances.get(name)
@@ -768,39 +676,6 @@
             text = f"the store is new; instances are heard for {left:.0f} s more"
             raise Refused("recovering", text, retry_s=left)
 
-    def _next_revision(self, head: Revision) -> int:
-        """Above all that any instance has: a store that was put back from a copy must not count from below,
-        for no instance takes what is older than what it has."""
-        return max([head.number, *(i.revision for i in self.instances.values())]) + 1
-
-    def _checked(self, layer: Mapping[str, Any]) -> Values:
-        try:
-            return check.checked(layer, managed=True)
-        except check.OperatorError as error:
-            text = "; ".join(map(str, error.problems))
-            raise Refused("bad_input", text, problems=[p.table() for p in error.problems]) from None
-
-    def _check_effective(self, made: Document) -> None:
-        """Layers that will do alone may not do together."""
-        for instance in self.instances.values():
-            try:
-                check.checked(made.effective(instance.name, instance.labels), managed=True)
-            except check.OperatorError as error:
-                raise Refused("bad_input", f"for {instance.name}: {error.problems[0]}") from None
-
-    def _conflict(self, parent: int, head: Revision) -> Refused:
-        """Somebody was first: who, when, and what lies between."""
-        since = [r for r in self._store.revisions(after=parent) if r.number > parent]
-        old = self._store.revision(parent)
-        changes = difference(old.document, head.document) if old is not None else []
-        first = since[-1] if since else head
-        when = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(first.at))
-        text = (
-            f"revision {first.number} by {first.author} ({first.reason or 'no reason given'}, {when}) "
-            f"came first; yours was made on revision {parent}, the head is {head.number}"
-        )
-        return Refused("conflict", text, head=head.number, revisions=[r.table() for r in since], changes=changes)
-
     def _busy(self, blocking: list[Running]) -> Refused:
         first = blocking[0]
         text = (
@@ -812,30 +687,16 @@
     def _overlapping(self, meant: Selector, before: int = 1 << 62) -> list[Running]:
         """Rollouts that have not ended and may mean the same instances, the oldest first."""
         found = [
-            r for r in self._running.values()
+            r for r in self._ledger.running.values()
             if r.active and r.rollout.number < before and r.selector.overlaps(meant)
         ]  # fmt: skip
         return sorted(found, key=lambda r: r.rollout.number)
 
-    def _would(self, affected: list[Instance], revision: Revision) -> list[dict[str, Any]]:
-        """What a change would do to each instance."""
-        found = []
-        for instance in sorted(affected, key=lambda i: i.name):
-            values = revision.document.effective(instance.name, instance.labels)
-            current = dict(self.wanted(instance).get("values", {}))
-            changed = sorted(k for k in {*values, *current} if values.get(k) != current.get(k))
-            if changed:
-                restart = [k for k in check.restart_keys(current, values) if k in changed]
-                found.append(
-                    {"name": instance.name, "connected": instance.connected, "keys": changed, "restart": restart}
-                )
-        return found
-
     def _member(self, instance: Instance, revision: int, wave: int) -> Member:
         target = self._store.revision(revision)
         assert target is not None
         wanted = digest(target.document.effective(instance.name, instance.labels))
-        before = self.wanted(instance).get("digest", digest({}))
+        before = self.drafts.wanted(instance).get("digest", digest({}))
         return Member(
             name=instance.name, target=wanted, before=before, wave=wave, has=instance.digest,
             holds=instance.holds, connected=instance.connected, boot=instance.boot, keeps=instance.keeps,
@@ -847,7 +708,7 @@
         instances: list[Instance],
     ) -> Running:  # fmt: skip
         number = self._store.next_rollout()
-        while number in self._running:
+        while number in self._ledger.running:
             number += 1
         by_name = {i.name: i for i in instances if not i.left or i.connected}
         members = rollout.members(
@@ -855,7 +716,7 @@
         )
         made = Rollout(number, kind, plan, members, self._now())
         row = RolloutRow(number, revision.number, 0, str(meant), who, reason, time.time(), {}, False)
-        self._running[number] = running = Running(made, row, meant)
+        self._ledger.running[number] = running = Running(made, row, meant)
         return running
 
     def _begin(self, running: Running) -> None:
@@ -865,7 +726,7 @@
             instance = self.instances.get(member.name)
             if instance is not None:  # a queued one begins later than it was made
                 member.prior = instance.lately(now)
-                member.before = self.wanted(instance).get("digest", member.before)
+                member.before = self.drafts.wanted(instance).get("digest", member.before)
         self._do(running, running.rollout.start(now))
 
     def _refresh(self, running: Running) -> None:
@@ -900,7 +761,7 @@
             raise self._busy([x for x in others if not x.queued])
         head = self._store.head()
         made = head.document.replaced(meant, taken_back(head.document, mine.document, parent.document, meant))
-        number = self._next_revision(head)
+        number = self.drafts.next_revision(head)
         text = f"undo of revision {mine.number}" + (f": {reason}" if reason else "")
         revision = Revision(number, head.number, time.time(), who, text, str(meant), made.digest(), made)
         befores = {}
@@ -908,8 +769,8 @@
             instance = self.instances.get(name)
             labels = instance.labels if instance is not None else {}
             befores[name] = digest(made.effective(name, labels))
-        with self._all_or_nothing(running, *others):
-            self._running[r.number] = running
+        with self._ledger.all_or_nothing(running, *others):
+            self._ledger.running[r.number] = running
             self._refresh(running)
             for queued in others:  # they were built on what is taken back
                 queued.queued = False
@@ -945,12 +806,12 @@
             running.rollout.reason = f"{reason}; not undone: {error}"
 
     def _rollout_table(self, number: int) -> dict[str, Any] | None:
-        running = self._running.get(number)
+        running = self._ledger.running.get(number)
         return running.table(self._now()) if running is not None else None
 
     def status(self) -> dict[str, Any]:
         """The agent in a few figures."""
-        active = [r for r in self._running.values() if r.active]
+        active = [r for r in self._ledger.running.values() if r.active]
         return {
             "started": self.started, "instances": len(self.instances), "head": self._store.head().number,
             "connected": sum(1 for i in self.instances.values() if i.connected),
--- a/covetally/fleet/api.py
+++ b/covetally/fleet/api.py
@@ -238,7 +238,7 @@
         instance = self._agent.instances.get(name)
         if instance is None:
             raise Refused("unknown", f"there is no instance {name}")
-        wanted = {"wanted": self._agent.wanted(instance), "orders": self._agent.orders.table(name)}
+        wanted = {"wanted": self._agent.drafts.wanted(instance), "orders": self._agent.orders.table(name)}
         table = instance.table() | wanted
         if instance.connected:
             try:
@@ -281,9 +281,9 @@
         )
         dry_run, anyway = (_take(body, key, bool, False) for key in ("dry_run", "anyway"))
         if dry_run or not anyway:
-            found = await self._agent.preflight(draft)
+            found = await self._agent.drafts.preflight(draft)
             if dry_run:
-                return web.json_response(self._agent.preview(draft) | {"asked": found.table()})
+                return web.json_response(self._agent.drafts.preview(draft) | {"asked": found.table()})
             if found.refused:
                 raise Refused("refused", found.text(), asked=found.table())
         return web.json_response(self._agent.change(draft, who, reason, plan, overlap))
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -101,7 +101,7 @@
         values = {key.replace("__", "."): value for key, value in set_.items()}
         parent = self.agent.head().number if parent is None else parent
         draft = self.agent.draft(who, parent, "", selector, None, values, [])
-        return self.agent.preview(draft) if dry else self.agent.change(draft, who, "", plan, overlap)
+        return self.agent.drafts.preview(draft) if dry else self.agent.change(draft, who, "", plan, overlap)
 
     async def settled(self) -> None:
         while any(r.active for r in self.agent.rollouts()):
@@ -194,7 +194,7 @@
         for wire in wires:
             instance = agent.instances[wire.name]
             assert digest(wire.values) == instance.digest
-            wanted = agent.wanted(instance)["digest"]
+            wanted = agent.drafts.wanted(instance)["digest"]
             named = {m.name for r in agent.rollouts() for m in r.rollout.missing()}
             assert instance.digest == wanted or wire.name in named
 
