Take an order also while a sidecar ends, and believe the state it comes back with

Cause: a drain ordered while its sidecar was ending was refused, and the agent took it for not wanted; and the agent held each sidecar that came for serving until its first heartbeat, so that a drained one counted as capacity for up to 5 s. Change: orders that are states are kept while the process ends, for the one after it; the agent takes the state from the hello. Measured: a test in tests/control/test_keep_disk.py and one in tests/fleet/test_agent.py fail on the code before. The line on the state in tests/incidents/test_orders.py passes there too, since heartbeats are short in it.

--- a/covetally/control/manager.py
+++ b/covetally/control/manager.py
@@ -296,12 +296,12 @@
     async def _done(self, message: Message) -> str:
         """Carry out an order; empty, or why not."""
         what = message["what"]
-        if self._instance.ending:
-            return "" if what == "restart" else "the sidecar is ending"
-        if what in WORDS:
+        if what in WORDS:  # also while it ends: the process after it is to have it
             if "orders" in message:
                 return await self._take_orders(message["orders"])
             return await self._adopt_orders(self.orders.ordered(what, self.orders.revision))
+        if self._instance.ending:
+            return "" if what == "restart" else "the sidecar is ending"
         return self._do_once(what)
 
     def _do_once(self, what: str) -> str:
--- a/covetally/fleet/agent.py
+++ b/covetally/fleet/agent.py
@@ -159,7 +159,7 @@
         instance.due = (-1, "")  # its labels may be others
         instance.offered = ("", "")
         pending = str(hello.get("pending", ""))
-        beat = {"digest": hello["digest"], "pending": pending, "counts": {}, "state": "serving"}
+        beat = {"digest": hello["digest"], "pending": pending, "counts": {}, "state": _state_of(hello)}
         instance.beat(self._now(), self.clock.now(), beat)
         self.orders.reported(instance.name, hello.get("orders"), self.clock.now())
         link.welcome(self.orders.of(instance.name))
@@ -817,3 +817,10 @@
             "active_rollouts": [r.rollout.number for r in active], "recovered": self.recovered,
             "recovering": self._recovering(), "supervised": self.supervised(),
         }  # fmt: skip
+
+
+def _state_of(hello: Message) -> str:
+    """The state that an instance says it is in as it comes: one that was drained before comes back drained."""
+    beat = hello.get("beat")
+    state = beat.get("state") if isinstance(beat, dict) else None
+    return state[:63] if isinstance(state, str) else "serving"
--- a/tests/control/test_keep_disk.py
+++ b/tests/control/test_keep_disk.py
@@ -14,6 +14,7 @@
 import pytest
 
 from covetally.control import keep, manager
+from covetally.control.orders import Orders
 from covetally.control.protocol import digest
 from covetally.control.taking import Held, Memory
 from covetally.membership import keep as membership_keep
@@ -137,6 +138,19 @@
     asyncio.run(main())
 
 
+def test_an_order_to_a_sidecar_that_ends_is_kept_for_the_process_after_it(tmp_path):
+    """It was refused, and the agent then took it for not wanted."""
+    path = tmp_path / "keep.json"
+    own = {"control.agent": "unix:none", "control.keep": str(path)}
+    configuration = SimpleNamespace(own=own, platform=SimpleNamespace(name="a0"))
+    instance = SimpleNamespace(configuration=configuration, ending=True, drain=lambda within_s: None)
+    table = Orders(3, draining=True).table()
+    assert asyncio.run(manager.Manager(instance)._done({"what": "drain", "orders": table})) == ""
+    assert manager.Manager(instance).orders == Orders(3, draining=True)
+    late = {"what": "resume", "orders": Orders(2).table()}
+    assert "revision 3 are held here" in asyncio.run(manager.Manager(instance)._done(late))
+
+
 def test_a_roster_that_changes_while_the_disk_refuses_is_kept_once_it_is_well():
     end_s = 4.0  # after the world was made
 
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -452,3 +452,18 @@
         assert place.agent.instances == {}
 
     run(main)
+
+
+@pytest.mark.parametrize(
+    ("beat", "state"), [({"state": "drained"}, "drained"), ({}, "serving"), (None, "serving")]
+)
+def test_an_instance_is_in_the_state_that_it_says_as_it_comes(beat, state):
+    """It passed for serving until its first heartbeat: a drained one counted as capacity."""
+
+    async def main(place):
+        wire = Wire(place.agent, "i0")
+        wire.hello["beat"] = beat
+        wire.dial()
+        assert place.agent.instances["i0"].state == state
+
+    run(main)
--- a/tests/incidents/test_orders.py
+++ b/tests/incidents/test_orders.py
@@ -65,6 +65,7 @@
             assert (await world.command("roster", "hold", "-s", "name=a0"))[0] == 0
             assert await kill_and_watch(world, "a0") == {503}
             await world.connected()
+            assert (await instances(world))["a0"]["state"] == "drained", "from its first word on"
             tables = (await world.table("roster", "show"))["instances"]
             assert {name: table["mode"] for name, table in tables.items()} == {"a0": "hold", "a1": "auto"}
             assert (await world.command("resume", "-s", "name=a0"))[0] == 0
