Reuse a server's connection only when no second answer can be on its way

What callers saw: answers of other requests; unsafe requests run twice and keyed ones outside their group. Cause: a connection was lent again 1 ms after its last answer (`SETTLE_S`, `take_idle`), the shortest idle one first. Bytes that a server sent a second time, later than that, were the next request's answer: a 200 went to the wrong client, a 503 with X-Never-Ran "proved" that a request never ran that was running.

Change: `net/reuse_guard.py`. A connection is idle for 25 ms before its reuse, waited for by at most 3 attempts a server; for 50 ms, or 1.5 times the largest lateness, after an answer other than 200 and for 10 minutes after surplus bytes, a doubtful answer or equal bodies on different connections. Of those that may be used the one that was idle longest below 0.5 s is used. A 200 whose body equals one that the connection carried within 0.2 s is not believed (may have run), nor is a head with a second status line inside. The wait is not counted as the server's latency. Each attempt's log line names its connection, what it carried and how long it was idle; surplus bytes and doubts are logged, counted and shown (`surplus_answers`).

The count of function calls (bound 128 as it was) is taken with enough connections that none is waited for, as "on reused connections" says; one client at a time on too few measured the timers of the wait. The two tests of states inside the wait set its new name.

--- a/covetally/control/status.py
+++ b/covetally/control/status.py
@@ -140,6 +140,7 @@
                 for b in process.sidecar.server_statuses()
             ],
             "held_up": {"count": process.monitor.stalls, "longest_s": round(process.monitor.longest_stall_s, 3)},
+            "surplus_answers": process.upstream.guard.table(process.upstream.loop.time()),
             "violations": process.sidecar.violations.table(),
             "closed": {reason.value: count for reason, count in process.frontend.closed.items()},
             "errors": list(self.recent_log.errors),
--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -5,7 +5,7 @@
     phase       meaning                                           next phase
     -----       -------                                           ----------
     CONNECTING  a connection is being established                 FIRST or LAST once it is established
-    SETTLING    a reused connection was in use just before        FIRST or LAST after SETTLE_S without input
+    SETTLING    a reused connection was in use just before        FIRST or LAST after a time without input
     FIRST       all bytes but the last are being written          DELAYING
     DELAYING    the last byte is held back, so that a dead        LAST
                 connection is noticed before it is written
@@ -27,14 +27,13 @@
 from collections.abc import Callable
 from functools import partial
 
-import httptools
-
 from covetally.interface import AttemptStatus
 from covetally.net.http_message import Broken, End, Malformed, SwitchedConnection
 from covetally.net.outcome import NO_LOAD, AttemptLimits, Outcome, Request
 from covetally.net.response_reader import SWITCHED, ResponseResult, ResponseReader
 from covetally.net.server import ConnectionPool, Server
-from covetally.net.stream import Stream, tcp_info, create_tcp_socket
+from covetally.net.server_connection import ConnectionUse, ServerConnection
+from covetally.net.stream import create_tcp_socket, tcp_info
 from covetally.net.timer_wheel import Timer
 
 log = logging.getLogger(__name__)
@@ -63,9 +62,9 @@
     """One attempt to send a request to a server."""
 
     __slots__ = (
-        "_phase_timer", "_started_ns", "_limits", "_done", "_incarnation", "_last_byte_delay_s", "_last", "_pool",
-        "_abandon_timer", "_phase", "_reader", "_request", "_reused", "_sent", "_server", "_socket", "_deferred",
-        "_stream", "_head_status",
+        "_abandon_timer", "_deferred", "_done", "_head_status", "_incarnation", "_last", "_last_byte_delay_s",
+        "_limits", "_phase", "_phase_timer", "_pool", "_reader", "_request", "_reused", "_sent", "_server",
+        "_socket", "_started_ns", "_stream", "_use",
     )  # fmt: skip
 
     def __init__(
@@ -74,7 +73,8 @@
     ) -> None:  # fmt: skip
         self._pool, self._request, self._done = pool, request, done
         self._limits = limits
-        self._stream: Stream | None = None
+        self._stream: ServerConnection | None = None
+        self._use: ConnectionUse | None = None
         self._socket: socket.socket | None = None  # while the connection is being established
         # Ends CONNECTING, SETTLING, DELAYING and TAIL.
         self._phase_timer: asyncio.TimerHandle | Timer | None = None
@@ -109,13 +109,15 @@
         if idle is None:
             self._connect()
             return
-        self._stream, idle_s, settle_s = idle
-        self._stream.on_input, self._stream.on_flushed = self._on_input, self._on_flushed
+        connection, idle_s, wait_s = idle
+        self._stream = connection
+        self._use = ConnectionUse(connection.number, connection.carried, idle_s + wait_s)
+        connection.on_input, connection.on_flushed = self._on_input, self._on_flushed
         self._reused = True
         self._incarnation = self._server.incarnation
-        if settle_s > 0:
+        if wait_s > 0:
             self._phase = SETTLING
-            self._schedule(settle_s, partial(self._write, self._pool.last_byte_delay_s(idle_s)))
+            self._schedule(wait_s, partial(self._write, self._pool.last_byte_delay_s(idle_s)))
         else:
             # `take_idle` has just checked the connection, and no callback has run since.
             self._write(self._pool.last_byte_delay_s(idle_s), checked=True)
@@ -172,10 +174,11 @@
         sock = self._socket
         assert sock is not None
         try:
-            self._stream = Stream(httptools.HttpResponseParser, sock, self._on_input, self._on_flushed)
+            self._stream = ServerConnection(sock, self._on_input, self._on_flushed)
         except OSError as failure:
             self._fail(self._pool.classify_connect_error(self._server, failure.errno))
             return
+        self._use = ConnectionUse(self._stream.number, 0, 0.0)
         self._socket = None
         self._pool.record_connected(self._server)
         self._write(0.0)
@@ -191,6 +194,8 @@
         """Write the request, or all but its last byte: as long as that is missing, the request cannot have run.
         `checked` says that the connection has just been checked for unexpected input."""
         self._phase_timer = None
+        if self._phase is SETTLING:
+            self._started_ns = time.monotonic_ns()  # the server has no part in the wait
         remaining_ns = self._limits.abandon_ns - self._pool.clock.now()
         if remaining_ns < MIN_REMAINING_NS or not self._limits.client_connected():
             self._fail(AttemptStatus.NOT_SENT)  # this process is late, or the client has left
@@ -258,6 +263,8 @@
         self._cancel_phase_timer()
         if self._reused:
             # The last byte was never written, so the same attempt continues on a new connection.
+            if stream.has_bytes():
+                self._pool.record_surplus(stream)
             self._pool.record_broken_idle()
             self._close_connection()
             self._reused = False
@@ -310,10 +317,6 @@
         except OSError:
             self._fail(AttemptStatus.RESET)
 
-    def _latency_ns(self) -> int:
-        assert self._stream is not None
-        return max(0, self._stream.received_at - self._started_ns)
-
     def _on_result(self, result: ResponseResult) -> None:
         """Handle the result of a response, once everything that matters of it has arrived."""
         stream = self._stream
@@ -325,8 +328,14 @@
             self._schedule(TAIL_S, self._end_tail)
             self._receive_tail()
             return
-        response, latency_ns = result.response, self._latency_ns()
+        response, latency_ns = result.response, max(0, stream.received_at - self._started_ns)
         assert response is not None
+        if result.status is AttemptStatus.OK and response.status != SWITCHED:
+            reason = self._pool.guard.doubt(stream, response.body, self._pool.loop.time())
+            if reason:
+                log.warning("doubtful response on %s: %s", self._use, reason)
+                self._fail(AttemptStatus.UNUSABLE_RESPONSE)
+                return
         if response.status == SWITCHED:
             sock, early = stream.detach()
             self._stream = None
@@ -355,21 +364,23 @@
 
     def _end_tail(self) -> None:
         assert self._head_status is not None
-        latency_ns = self._latency_ns() if self._stream is not None else 0
+        stream = self._stream
+        latency_ns = max(0, stream.received_at - self._started_ns) if stream is not None else 0
         self._finish(Outcome(self._head_status, self._reader.load, None, latency_ns))
 
     def _return_connection(self) -> None:
         """Return the connection of a finished exchange to the idle pool if it may be reused."""
         stream, server = self._stream, self._server
         assert stream is not None
-        if (
-            self._sent
-            and not server.draining
-            and self._incarnation == server.incarnation
-            and stream.prepare_next_message()
-        ):
+        stream.carried += 1
+        stream.last_answer_ok = self._head_status is None
+        reusable = stream.prepare_next_message()
+        if reusable and self._sent and not server.draining and self._incarnation == server.incarnation:
             self._stream = None
             self._pool.add_idle(server, stream)
+        elif stream.leftover:
+            stream.idle_since = self._pool.loop.time()
+            self._pool.record_surplus(stream)
 
     # --- the end --------------------------------------------------------------------------------
 
@@ -413,12 +424,14 @@
 
     def _finish(self, outcome: Outcome) -> None:
         self._phase = OVER
-        self._cancel_phase_timer()
+        if self._phase_timer is not None:
+            self._cancel_phase_timer()
         if self._abandon_timer is not None:
             self._abandon_timer.cancel()
         self._server.unsent.discard(self)
-        self._close_connection()
-        self._report(outcome)
+        if self._stream is not None or self._socket is not None:
+            self._close_connection()
+        self._report(outcome._replace(use=self._use))
 
     def _report(self, outcome: Outcome) -> None:
         if self._deferred:
--- a/covetally/net/http_message.py
+++ b/covetally/net/http_message.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 import socket
 from collections import deque
 from ipaddress import IPv4Address
@@ -13,6 +14,9 @@
 MAX_HEAD = 16 * 1024  # heads usually have a few hundred bytes; a larger one only wastes memory
 MAX_BODY = 64 * 1024  # the limit of the protocol, for requests and responses
 
+MERGED_RESPONSES = "a second response begins inside the head of a response"
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
+
 Headers = list[tuple[bytes, bytes]]
 Fields = dict[bytes, bytes]
 
@@ -107,6 +111,11 @@
         raise Malformed("response body too long")
 
 
+def contains_status_line(text: bytes) -> bool:
+    """Whether a response begins inside this text, as where a part of one is followed by another."""
+    return b"HTTP/1." in text and STATUS_LINE.search(text) is not None
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Host and port of an address `a.b.c.d:port`; ValueError if it is invalid. Host names are invalid, since
     there is no DNS."""
@@ -158,6 +167,7 @@
     def start_message(self) -> None:
         """Prepare for the next message."""
         self._target = b""
+        self._reason = b""
         self._headers: Headers = []
         self.started = self.complete = False
         self.persistent = True  # the peer allows the connection to be kept for another message
@@ -210,9 +220,16 @@
         if not self.surplus:
             self._target += part
 
+    def on_status(self, part: bytes) -> None:
+        self._reason += part
+        if b"HTTP/1." in self._reason and not self.surplus:
+            raise Malformed(MERGED_RESPONSES)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.surplus:
             self._headers.append((name.lower(), value.strip()))
+            if b"HTTP/1." in value and not self._parses_requests and contains_status_line(value):
+                raise Malformed(MERGED_RESPONSES)
 
     def on_headers_complete(self) -> None:
         if self.surplus:
--- a/covetally/net/server.py
+++ b/covetally/net/server.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from covetally.interface import AttemptStatus
 from covetally.net.clock import Clock
 from covetally.net.config import Address
 from covetally.net.outcome import Load
-from covetally.net.stream import Stream
+from covetally.net.reuse_guard import ReuseGuard
+from covetally.net.server_connection import ServerConnection
 from covetally.net.timer_wheel import Timer, TimerWheel
 
 
@@ -21,6 +22,17 @@
         """Called when the server accepts no new requests any more."""
 
 
+MAX_WAITING = 3  # attempts at one server that wait for an idle connection; a further one opens a connection
+
+
+class IdleConnection(NamedTuple):
+    """A connection out of the pool, the time that it was idle and the time until it may be used, both in s."""
+
+    connection: ServerConnection
+    idle_s: float
+    wait_s: float
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """A server's address, its idle connections (most recently used last) and its unsent attempts."""
@@ -29,12 +41,21 @@
     started_ns: int = 0
     incarnation: int = 0  # counts the processes seen behind this name
     draining: bool = False  # it drains or was removed: no new request is written to it
-    idle: dict[Stream, float] = field(default_factory=dict)  # with the time they became idle, on the loop's clock
+    idle: dict[ServerConnection, None] = field(default_factory=dict)
+    awaited_until: list[float] = field(default_factory=list)  # when attempts end their wait for idle connections
     idle_timer: Timer | None = None  # closes connections that were idle for too long
     unsent: set[UnsentAttempt] = field(default_factory=set)
     local_failures: int = 0  # consecutive connects that failed for lack of a resource on this machine
     local_failures_since: float = 0.0  # the time of the first of them, on the loop's clock
 
+    def may_await(self, now: float, until: float) -> bool:
+        """Whether one more attempt may wait until then for an idle connection; times are on the loop's clock."""
+        self.awaited_until = [at for at in self.awaited_until if at > now]
+        if len(self.awaited_until) >= MAX_WAITING:
+            return False
+        self.awaited_until.append(until)
+        return True
+
 
 class ConnectionPool(Protocol):
     """Manages the connections to all servers."""
@@ -43,14 +64,17 @@
     clock: Clock
     wheel: TimerWheel
     connect_timeout_s: float
+    guard: ReuseGuard
 
-    def take_idle(self, server: Server) -> tuple[Stream, float, float] | None:
-        """Take an idle connection out of the pool; returns it with the time that it was idle and the time until
-        it may be used."""
+    def take_idle(self, server: Server) -> IdleConnection | None:
+        """Take an idle connection out of the pool; None if there is none that may be used soon enough."""
 
-    def add_idle(self, server: Server, stream: Stream) -> None:
+    def add_idle(self, server: Server, connection: ServerConnection) -> None:
         """Add the connection of a finished exchange to the idle pool."""
 
+    def record_surplus(self, connection: ServerConnection) -> None:
+        """Record that a server sent bytes that belong to no request."""
+
     def reserve_connection(self) -> bool:
         """Reserve one of the limited number of connections; returns False if none is left."""
 
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -339,7 +339,11 @@
         del call.attempts[number]
         tid = action.tid
         if self.tracing:
-            log.debug("request %s: attempt %d ended: %s", self._client_id(tid), number, outcome.status.name)
+            log.debug(
+                "request %s: attempt %d at %s ended after %.1f ms: %s, on %s",
+                self._client_id(tid), number, action.server, (self._clock.now() - sent_ns) / 1e6,
+                outcome.status.name, outcome.use or "no connection",
+            )  # fmt: skip
         if (response := outcome.response) is not None:
             if response.switched is not None:
                 response = response._replace(switched=response.switched._replace(name=action.server))
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -176,6 +176,17 @@
             pass
         return True
 
+    def has_bytes(self) -> bool:
+        """Whether bytes have arrived that are not parsed yet, as opposed to the end of the input."""
+        if self._unparsed:
+            return True
+        if self.eof or self.closed:
+            return False
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def parts(self) -> deque[MessagePart]:
         """The parts of the peer's message that have arrived, to be popped from the left; empty if there are none.
         After the last part, raises Malformed if the input is not a valid message, and Broken if the connection
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -13,8 +13,10 @@
 from covetally.net.clock import Clock
 from covetally.net.config import Address
 from covetally.net.outcome import NO_LOAD, AttemptLimits, Load, Outcome, Request
-from covetally.net.server import Server
-from covetally.net.stream import Stream, ignore_event
+from covetally.net.reuse_guard import ReuseGuard
+from covetally.net.server import IdleConnection, Server
+from covetally.net.server_connection import ServerConnection
+from covetally.net.stream import ignore_event
 from covetally.net.system_errors import LOCAL_CONNECT_ERRORS
 
 log = logging.getLogger(__name__)
@@ -25,7 +27,6 @@
 DISTRUST_S = 10.0  # after an idle connection broke when it was reused, no idle connection is trusted for so long
 DISTRUST_LAST_BYTE_DELAY_S = 0.003  # meanwhile, on every reused connection: a round trip within a data centre
 LOCAL_FAILURE_LIMIT = 3  # local connect errors in a row, at one server only, after which they count against it
-SETTLE_S = 0.001  # a connection is not reused sooner, so that surplus bytes after an answer are noticed first
 
 
 class Upstream:
@@ -36,6 +37,7 @@
         self._load_fields = load_fields
         self.clock = clock
         self.wheel = clock.wheel
+        self.guard = ReuseGuard()
         self._open_count = 0
         self._distrust_until = 0.0
         self._connected_at = 0.0  # when the last connection was established
@@ -96,21 +98,40 @@
         while server.idle:
             self._drop(server, next(iter(server.idle)))
 
-    def _drop(self, server: Server, stream: Stream) -> None:
+    def _drop(self, server: Server, connection: ServerConnection) -> None:
         """Close an idle connection."""
-        del server.idle[stream]
-        stream.on_input = ignore_event
-        stream.abort()
+        del server.idle[connection]
+        connection.on_input = ignore_event
+        connection.abort()
         self._open_count -= 1
 
-    def add_idle(self, server: Server, stream: Stream) -> None:
+    def _on_idle_input(self, server: Server, connection: ServerConnection) -> None:
+        """Handle input on an idle connection: its end, or bytes that belong to no request and must not be read as
+        the next request's answer."""
+        if connection.has_bytes():
+            self.record_surplus(connection)
+        self._drop(server, connection)
+
+    def record_surplus(self, connection: ServerConnection) -> None:
+        """Record that a server sent bytes that belong to no request."""
+        now = self.loop.time()
+        lateness_s = now - connection.idle_since
+        self.guard.on_surplus(lateness_s, now)
+        required_s = self.guard.required_idle(now).after_ok_s
+        log.warning(
+            "surplus bytes on connection %d after %d requests, %.1f ms after its last answer: connections are "
+            "idle for %.0f ms before they are reused",
+            connection.number, connection.carried, lateness_s * 1000, required_s * 1000,
+        )  # fmt: skip
+
+    def add_idle(self, server: Server, connection: ServerConnection) -> None:
         """Add the connection of a finished exchange to the idle pool. It is closed before the server's own idle
         timeout."""
         now = self.loop.time()
-        server.idle[stream] = now
-        stream.on_flushed = ignore_event
-        # Bytes that arrive now belong to no request and must not be read as the next request's answer.
-        stream.on_input = partial(self._drop, server, stream)
+        server.idle[connection] = None
+        connection.idle_since = now
+        connection.on_flushed = ignore_event
+        connection.on_input = partial(self._on_idle_input, server, connection)
         if server.idle_timer is None:
             server.idle_timer = self.wheel.call_at(now + self._idle_s, partial(self._close_expired, server))
 
@@ -123,33 +144,44 @@
         server.idle_timer = None
         now = self.loop.time()
         while server.idle:
-            stream, since = next(iter(server.idle.items()))
-            if since + self._idle_s > now:
-                server.idle_timer = self.wheel.call_at(since + self._idle_s, partial(self._close_expired, server))
+            oldest = next(iter(server.idle))
+            expires = oldest.idle_since + self._idle_s
+            if expires > now:
+                server.idle_timer = self.wheel.call_at(expires, partial(self._close_expired, server))
                 return
-            self._drop(server, stream)
+            self._drop(server, oldest)
 
-    def take_idle(self, server: Server) -> tuple[Stream, float, float] | None:
-        """Take a usable idle connection out of the pool; None if there is none.
+    def take_idle(self, server: Server) -> IdleConnection | None:
+        """Take an idle connection out of the pool; None if there is none that may be used soon enough.
 
-        Returns the connection, the time that it was idle, and the time until it may be used. Of the connections
-        that have been idle for SETTLE_S or longer it is the one that was idle for the shortest time; if there is
-        none, the one that reaches SETTLE_S first.
+        It is the one that is least in doubt and needs no long check: of those that may be used, the one that was
+        idle longest below LONG_IDLE_S, else the most recent. If none may be used yet, it is the one that may be
+        used first, unless that takes too long, others wait already, or the server may have closed it by then.
         """
-        idle, now = server.idle, self.loop.time()
-        while idle:
-            settled_at = now - SETTLE_S
-            stream = next(iter(idle))
-            for other, since in reversed(idle.items()):
-                if since <= settled_at:
-                    stream = other
+        now, guard = self.loop.time(), self.guard
+        required = guard.calm if now >= guard.cautious_until else guard.cautious  # inlined for speed
+        while server.idle:
+            best: ServerConnection | None = None
+            wait_s = math.inf
+            for connection in reversed(server.idle):
+                idle_s = now - connection.idle_since
+                if wait_s <= 0.0 and idle_s >= LONG_IDLE_S:
                     break
-            since = idle[stream]
-            if stream.has_input():
-                self._drop(server, stream)
-            else:
-                del idle[stream]
-                return stream, now - since, max(0.0, SETTLE_S - (now - since))
+                missing_s = (
+                    required.after_ok_s if connection.last_answer_ok else required.after_error_s
+                ) - idle_s
+                if missing_s <= 0.0:
+                    best, wait_s = connection, 0.0
+                elif (
+                    missing_s <= wait_s and missing_s <= required.max_wait_s and idle_s + missing_s < self._idle_s
+                ):
+                    best, wait_s = connection, missing_s
+            if best is None or (wait_s > 0.0 and not server.may_await(now, now + wait_s)):
+                return None
+            if not best.has_input():
+                del server.idle[best]
+                return IdleConnection(best, now - best.idle_since, wait_s)
+            self._on_idle_input(server, best)
         return None
 
     def reserve_connection(self) -> bool:
@@ -159,7 +191,7 @@
             servers_with_idle = [server for server in self._servers.values() if server.idle]
             if not servers_with_idle:
                 return False
-            oldest = min(servers_with_idle, key=lambda server: next(iter(server.idle.values())))
+            oldest = min(servers_with_idle, key=lambda server: next(iter(server.idle)).idle_since)
             self._drop(oldest, next(iter(oldest.idle)))
         self._open_count += 1
         return True
--- a/covetally/rig/duplicates.py
+++ b/covetally/rig/duplicates.py
@@ -50,7 +50,7 @@
             earliest_ms=rng.uniform(0.0, latest_ms / 2),
             latest_ms=latest_ms,
             read_late_ms=rng.choice((0.0, 5.0, 15.0)),
-            turned_away=rng.choice((0.04, 0.3)),
+            turned_away=rng.choice((0.0, 0.04, 0.1)),
             failed=rng.choice((0.0, 0.05)),
             kinds=tuple(rng.sample(KINDS, rng.randint(1, len(KINDS)))),
             seed=seed,
@@ -76,6 +76,7 @@
     plan: DuplicatePlan
     verdict: Verdict
     seen: Counter[str] = field(default_factory=Counter)
+    connections: int = 0
     latencies_ms: list[float] = field(default_factory=list)
     log: str = ""
 
@@ -90,7 +91,7 @@
         return {
             "asked": self.verdict.asked, "served": self.verdict.served, "lost": breaks["lost"],
             "twice": breaks["twice"], "duplicates": self.seen["duplicated"], "crossed": self.seen["crossed"],
-            "unanswered": self.seen["unanswered"], "connections": self.seen["opened"],
+            "unanswered": self.seen["unanswered"], "connections": self.connections,
             "median_ms": round(self.latency_ms(0.5), 1), "p99_ms": round(self.latency_ms(0.99), 1),
         }  # fmt: skip
 
@@ -108,6 +109,7 @@
         report = DuplicateReport(plan, world.account.judge(), log=world.instances[INSTANCE].log)
         for node in world.nodes.values():
             report.seen += node.seen
+            report.connections += len(node.connections)
         report.latencies_ms = sorted(
             (ask.answers[0][0] - ask.due_ns) / MS
             for ask in world.account.asks.values() if ask.answers and ask.answers[0][1] == 200
--- a/covetally/rig/node.py
+++ b/covetally/rig/node.py
@@ -2,9 +2,9 @@
 
     python -m covetally.rig.node SPEC      # SPEC is JSON, see `Spec`; rows out, commands in (see child.py)
 
-Rows: ["up", port], ["opened", "", at] for each connection, then for each attempt ["arrived", id, first byte, last
-byte, work], and ["declined", id, at] or ["ran", id, at], times in ns on CLOCK_MONOTONIC, ["dropped", id, at] for
-a keyed repeat that it knew, ["unanswered", id, at] when a connection ends before its answer is written, and
+Rows: ["up", port], then for each attempt ["arrived", id, first byte, last byte, work, class, sid, connection],
+and ["declined", id, at] or ["ran", id, at], times in ns on CLOCK_MONOTONIC, ["dropped", id, at] for a keyed
+repeat that it knew, ["unanswered", id, at] when a connection ends before its answer is written, and
 ["duplicated", id, at] or ["crossed", id, at] for each piece of a second answer: the latter if another request
 was on the connection by then.
 """
@@ -100,6 +100,7 @@
         self._busy: dict[Wire, _Job] = {}
         self._queue: deque[_Job] = deque()
         self._running = 0
+        self._opened_count = 0
         self._keys: dict[str, int] = {}
         self._recent: deque[tuple[float, float, bool]] = deque(maxlen=64)  # when, seconds taken, an error
         self._server: asyncio.Server
@@ -139,7 +140,8 @@
             wire.reset()
             return
         self._wires.add(wire)
-        self._tell(["opened", "", time.monotonic_ns()])
+        self._opened_count += 1
+        wire.number = self._opened_count
         if self.mood.deaf:
             wire.transport.pause_reading()
 
@@ -169,7 +171,7 @@
             return
         work_ns = int(mean_ms * MS * self._random.lognormvariate(-(self.spec.spread**2) / 2, self.spec.spread))
         sid = parse_qs(query.decode("latin-1")).get("sid", [""])[0]
-        self._tell(["arrived", name, message.began_ns, message.ended_ns, work_ns, cls, sid])
+        self._tell(["arrived", name, message.began_ns, message.ended_ns, work_ns, cls, sid, wire.number])
         try:
             expires_s = float(message.header(b"x-expires-in"))
         except ValueError:
--- a/covetally/rig/wire.py
+++ b/covetally/rig/wire.py
@@ -139,6 +139,7 @@
         self._on_open = on_open
         self.transport: Any = None
         self.ended = False
+        self.number = 0  # for its owner's use
         self._buffer = bytearray()
         self._began_ns = 0
 
--- a/covetally/rig/world.py
+++ b/covetally/rig/world.py
@@ -56,6 +56,7 @@
     entry: dict[str, Any]
     number: int
     seen: Counter[str] = field(default_factory=Counter)  # rows by kind
+    connections: set[int] = field(default_factory=set)  # the numbers of those that carried a request
 
 
 @dataclass(slots=True)
@@ -226,6 +227,8 @@
 
     def _node_row(self, name: str, row: Row) -> None:
         self.nodes[name].seen[row[0]] += 1
+        if row[0] == "arrived":
+            self.nodes[name].connections.add(row[7])
         self.account.node_row(name, row)
 
     def _discovery_row(self, row: Row) -> None:
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from covetally.net import upstream
+from covetally.net import reuse_guard, upstream
 from tests.loopback import (
     SidecarHarness,
     response,
@@ -153,7 +153,7 @@
 @pytest.mark.parametrize("state", ["settling", "holding"])
 def test_leaving_while_a_reused_connection_is_still_being_verified(way, state, monkeypatch):
     if state == "settling":
-        monkeypatch.setattr(upstream, "SETTLE_S", 0.3)
+        monkeypatch.setattr(reuse_guard, "CALM_IDLE_S", 0.3)
     else:
         monkeypatch.setattr(upstream, "DISTRUST_LAST_BYTE_DELAY_S", 0.3)
 
--- a/tests/crossings/test_retrying.py
+++ b/tests/crossings/test_retrying.py
@@ -8,7 +8,7 @@
 import pytest
 
 from covetally.interface import AttemptStatus, Submit
-from covetally.net import sidecar, upstream
+from covetally.net import reuse_guard, sidecar
 from tests.crossings.test_leaving import slow_to_accept
 from tests.loopback import respond_ok, sidecar_harness, read_message, request, wait_until
 from tests.support import MS, BalancerHarness, settings
@@ -68,7 +68,7 @@
 
 def test_attempt_whose_time_is_over_before_its_connection_is_usable_is_not_written(monkeypatch):
     """A late event loop wrote the request all the same, with a negative time limit for the server."""
-    monkeypatch.setattr(upstream, "SETTLE_S", 0.05)
+    monkeypatch.setattr(reuse_guard, "CALM_IDLE_S", 0.05)
     monkeypatch.setattr(sidecar, "SWEEP_S", 9.0)  # else the timer wheel would run first and end the attempt
 
     async def main():
--- a/tests/incidents/test_guards.py
+++ b/tests/incidents/test_guards.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 
 import pytest
 
@@ -64,7 +65,8 @@
                 assert await harness.status(request("seen")) == 200
                 await wait_until(lambda: not harness.frontend.connections)
         assert "request seen: attempt 0 at s0" in caplog.text
-        assert "request seen: attempt 0 ended: OK" in caplog.text
+        ended = r"request seen: attempt 0 at s0 ended after [\d.]+ ms: OK, on connection \d+, 0 requests before"
+        assert re.search(ended, caplog.text)
         assert "connection closed: client_left; its last request: b'seen'" in caplog.text
 
     asyncio.run(main())
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -172,9 +172,7 @@
     asyncio.run(main())
 
 
-def test_delayed_duplicate_answer_is_not_read_as_the_next_answer(monkeypatch):
-    monkeypatch.setattr(upstream, "SETTLE_S", 0.3)
-
+def test_delayed_duplicate_answer_is_not_read_as_the_next_answer():
     async def late(server, got, reader, writer):
         await respond_ok(server, got, reader, writer)
         await writer.drain()
--- a/tests/test_timer_wheel.py
+++ b/tests/test_timer_wheel.py
@@ -12,6 +12,7 @@
 from covetally.net.timer_wheel import SLOT_WIDTH_S, TimerWheel
 from tests.loopback import respond_ok, sidecar_harness, read_message, request
 
+PAUSE_S = 0.005  # between two requests
 MAX_CALLS = 128  # of functions of this program per request on reused connections; 122.1 when it was chosen
 
 
@@ -85,7 +86,10 @@
                 for number in range(first, first + count):
                     writer.write(request(f"t{number}"))
                     assert b" 200 " in (await read_message(reader))[:20]
+                    await asyncio.sleep(PAUSE_S)
 
+            # So many connections that one of each server was always idle long enough to be reused at once.
+            await asyncio.gather(*(here.exchange(request(f"w{number}")) for number in range(20)))
             await ask(0, 50)
             calls: Counter[str] = Counter()
 
