Discovery: do not take an older list on a reused connection for the answer to a call

What could be seen: a server that drains counts as active again until the call after, and gets new work. A late copy of an earlier answer on discovery's kept connection was the answer to the next call (`Discovery._call_answered`, `_use_partial_list`), whatever version it named. Change: on a reused connection a version that goes back is no answer. The connection is closed and the list is asked for again on a new one. Discovery numbers anew only when it restarts, and then connections end. The same for entries of a cut answer. Test: test_a_late_copy_of_an_older_list_does_not_take_a_drain_back, complete and cut: 4 of 4 fail before, pass after.

--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -27,7 +27,13 @@
 from covetally.net.config import Address
 from covetally.net.discovery_call import DiscoveryCall
 from covetally.net.http_message import Malformed
-from covetally.net.server_list import ListError, ListUpdate, parse_list, parse_partial_list
+from covetally.net.server_list import (
+    ListError,
+    ListUpdate,
+    parse_generation,
+    parse_list,
+    parse_partial_list,
+)
 from covetally.net.async_connection import AsyncConnection
 
 log = logging.getLogger(__name__)
@@ -188,6 +194,9 @@
         open_call.timer.cancel()
         try:
             update = parse_list(self._settings, _parsed(task.result()))
+            if self._is_stale(open_call, update.generation):
+                open_call.call.close()
+                raise ListError(f"version {update.generation} after {self._index}, on a reused connection")
         except (OSError, Malformed, ListError) as error:
             self._call_failed(open_call, f"{type(error).__name__}: {error}")
         except Exception as error:
@@ -215,6 +224,13 @@
             if self._state is State.CALLING and self._newest is None:
                 self._call()
 
+    def _is_stale(self, open_call: _OpenCall, generation: int | None) -> bool:
+        """Whether an answer is a late copy of an earlier call's answer on the same connection. Discovery numbers
+        its versions anew only when it restarts, and then connections end."""
+        if not open_call.call.reused or self._index is None or generation is None:
+            return False
+        return generation < self._index
+
     def _call_failed(self, open_call: _OpenCall, text: str) -> None:
         """Handle the failure of one call."""
         self._use_partial_list(open_call)
@@ -240,8 +256,9 @@
 
     def _use_partial_list(self, open_call: _OpenCall) -> None:
         """Apply the entries that were received completely in an incomplete answer: each of them is valid."""
-        entries = parse_partial_list(self._settings, open_call.call.received.decode("utf-8", "replace"))
-        if entries:
+        text = open_call.call.received.decode("utf-8", "replace")
+        entries = parse_partial_list(self._settings, text)
+        if entries and not self._is_stale(open_call, parse_generation(text)):
             self.on_update(ListUpdate(0, False, entries))
 
     def _apply(self, update: ListUpdate) -> None:
--- a/covetally/net/discovery_call.py
+++ b/covetally/net/discovery_call.py
@@ -16,6 +16,7 @@
     def __init__(self, address: Address, target: str, connection: AsyncConnection | None) -> None:
         self._address, self._target = address, target
         self._connection = connection  # kept from an earlier call; None: open a new one
+        self.reused = connection is not None
         self.received = bytearray()
 
     async def run(self) -> bytes:
--- a/covetally/net/server_list.py
+++ b/covetally/net/server_list.py
@@ -14,6 +14,7 @@
 LIFECYCLES = {"active": "up", "leaving": "draining", "left": "removed"}
 
 _PREAMBLE = re.compile(r'\s*\{\s*(?:"(?:generation|reset)"\s*:\s*(?:\d+|true|false)\s*,\s*)*"instances"\s*:\s*\[')
+_GENERATION = re.compile(r'"generation"\s*:\s*(\d+)')
 _COMMA = re.compile(r"\s*,?\s*")
 
 
@@ -67,6 +68,12 @@
     return names.index(name) if name in names else len(names)
 
 
+def parse_generation(text: str) -> int | None:
+    """Return the version in front of the entries of a possibly truncated answer; None if there is none."""
+    found = _GENERATION.search(text.partition('"instances"')[0])
+    return int(found[1]) if found else None
+
+
 def parse_partial_list(settings: Settings, text: str) -> list[tuple[ServerEntry, Address]]:
     """Return the entries that were received completely in a truncated answer; each of them is valid."""
     entries = []
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -111,6 +111,46 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize("kind", ["complete", "truncated"])
+def test_a_late_copy_of_an_older_list_does_not_take_a_drain_back(kind, whole):
+    """The copy was read as the answer to the next call: the server that drains counted as active again."""
+
+    async def main():
+        older = members(5, "active", "active", whole=whole)
+        answers = [members(5, "active", "active"), members(6, "active", "leaving", whole=whole)]
+        seen: list[tuple[int, str]] = []
+
+        async def discover(server, got, reader, writer):
+            number = len(server.requests)
+            if number <= len(answers):
+                writer.write(answers[number - 1])
+            elif server.connections == 1:
+                writer.write(older if kind == "complete" else older[:-2])
+                if kind == "truncated":
+                    writer.close()
+            else:
+                await asyncio.sleep(0.05)
+                writer.write(members(6, "active", "leaving", whole=whole))
+
+        async with sidecar_harness() as here:
+            server = ScriptedServer(discover)
+            await server.start()
+            discovery = Discovery(here.sidecar._balancer.state.settings, server.address)
+            discovery.on_update = lambda update: seen.extend(
+                (update.generation, entry.lifecycle) for entry, _ in update.entries if entry.server == "s1"
+            )
+            discovery.on_failure = lambda: None
+            discovery.start()
+            await wait_until(lambda: server.connections == 2 and len(server.requests) >= 5)
+            discovery.stop()
+            server.stop()
+        drains = [state for _, state in seen].index("draining")
+        assert {state for _, state in seen[drains:]} == {"draining"}, seen
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("grace_s", [0.1, 0.25, 0.5, 2.0])
 def test_silent_agent_is_called_again_within_the_drain_grace(grace_s):
     """A call every 0.35 s is too late for a drain grace of 0.25 s."""
