--- a/covetally/membership/http.py
+++ b/covetally/membership/http.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 calls to a registry over one persistent connection, limited in time, size and redirects.
 
-Of `net` it uses only `AsyncConnection`, that is the sockets and the parser of the request path.
+Of `net` it uses the sockets and the parser of the request path, and how long a connection is idle before reuse.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 
 from covetally.net.http_message import Broken, End, Headers, Malformed, ResponseHead, encode
 from covetally.net.async_connection import AsyncConnection
+from covetally.net.reuse_guard import CAUTIOUS_IDLE_S
 from covetally.operator.url import Url, split_url
 
 MAX_REDIRECTS = 3
@@ -109,6 +110,7 @@
         self.authorization = authorization
         self._stream: AsyncConnection | None = None
         self._origin: tuple[str, int] | None = None
+        self._idle_since = 0.0  # on the loop's clock
         self.calls = self.connections = 0
 
     async def call(
@@ -163,6 +165,9 @@
 
     async def _connection_to(self, origin: tuple[str, int]) -> AsyncConnection:
         stream = self._stream
+        if stream is not None and self._origin == origin:
+            # A second answer that comes late must not be read as the next call's answer.
+            await asyncio.sleep(self._idle_since + CAUTIOUS_IDLE_S - asyncio.get_running_loop().time())
         if stream is not None and (self._origin != origin or stream.has_input()):
             await self.close()
             stream = None
@@ -174,6 +179,7 @@
 
     def release(self, stream: AsyncConnection) -> None:
         """Keeps the connection for the next call after an answer was read completely, if it can be reused."""
+        self._idle_since = asyncio.get_running_loop().time()
         if stream is self._stream and not stream.prepare_next_message():
             self._stream = None
             stream.close()
--- a/tests/membership/test_client.py
+++ b/tests/membership/test_client.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from covetally.membership.http import HttpClient
 from covetally.membership.membership_view import MembershipView
 from covetally.membership.model import LEAVING, UP, ViewConfig
+from covetally.operator.url import Url, split_url
 from covetally.rig.eureka import instance
+from tests.loopback import response
 from tests.membership.registry_harness import followed_registry, node, run
 
 
@@ -223,6 +226,29 @@
     run(main)
 
 
+def test_a_late_copy_of_an_answer_is_not_read_as_the_answer_to_the_next_call():
+    async def answer_twice(reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            copy = response(head.split()[1])
+            writer.write(copy)
+            asyncio.get_running_loop().call_later(0.01, writer.write, copy)
+
+    async def read(client: HttpClient, url: Url, path: str) -> bytes:
+        return b"".join([chunk async for chunk in (await client.call("GET", url, path)).body()])
+
+    async def main():
+        server = await asyncio.start_server(answer_twice, "127.0.0.1", 0)
+        url = split_url(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        client = HttpClient(1000)
+        for path in ("/one", "/two", "/three"):
+            assert await read(client, url, path) == path.encode()
+        assert client.connections == 3, "none was free of surplus bytes"
+        await client.close()
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_one_connection_is_reused_for_many_reads():
     async def main():
         async with followed_registry(2) as harness:
