Soak: half of the nodes answer a second time, late, beside all other faults

Drawn from a stream of its own, so that each seed keeps its schedule of faults. The report counts the second answers and how many crossed a request.

--- a/covetally/rig/soak.py
+++ b/covetally/rig/soak.py
@@ -25,6 +25,7 @@
 from covetally.rig.load import Load, Plan
 from covetally.rig.relay import Fault as LinkFault
 from covetally.rig.site import LOAD_CLASSES, TENANTS
+from covetally.rig.surplus_answer import KINDS
 from covetally.rig.system_faults import SOCKET_CALLS, FaultSchedule, drawn
 from covetally.rig.world import Shape, World
 
@@ -42,6 +43,8 @@
     (signal.SIGTERM, signal.SIGHUP), (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT),
     (signal.SIGSTOP, signal.SIGTERM, signal.SIGCONT),
 )  # fmt: skip
+DUPLICATE_SHARE = 0.5  # of the nodes send answers a second time,
+DUPLICATE_MS = (2.0, 40.0)  # so much later
 BETWEEN_S = 0.03  # two signals of a series, at most
 TROUBLE = re.compile(r"Traceback|violation [a-z]|by a bug|the module failed|unhandled exception")
 
@@ -65,6 +68,8 @@
     asked: int = 0
     in_time: int = 0
     events: dict[str, int] = field(default_factory=dict)
+    duplicates: int = 0  # second answers, or pieces of them
+    crossed: int = 0  # those that came while another request was on the connection
     ends: list[float] = field(default_factory=list)  # s from SIGTERM to the end of the process
     broken: list[str] = field(default_factory=list)
     logs: dict[str, str] = field(default_factory=dict)  # whole, of the sidecars that logged trouble
@@ -74,7 +79,8 @@
         return {
             "deadlines": self.scale, "asked": self.asked, "in_time": self.in_time,
             "longest_end_s": round(max(self.ends, default=0.0), 2), "ends": len(self.ends),
-            "faults": sum(self.events.values()), "broken": len(self.broken),
+            "faults": sum(self.events.values()), "duplicates": self.duplicates, "crossed": self.crossed,
+            "broken": len(self.broken),
         }  # fmt: skip
 
 
@@ -89,6 +95,7 @@
         self._crowds = self._rng.random() < CROWD_SHARE
         self._busy: set[str] = set()  # instances and nodes to which something is being done
         self._tasks: set[asyncio.Task[None]] = set()
+        self._duplicates: dict[str, dict[str, Any]] = {}  # by node: what its mood has at all times
         self.report = SoakReport(seed, self._scale)
 
     async def play(self) -> SoakReport:
@@ -98,6 +105,7 @@
             self._world = world
             self._classes = self._scaled()
             self._configure()
+            self._draw_duplicates()
             await world.start_instances()
             plan = Plan(
                 self._classes, TENANTS, tuple(world.instances), RATE * self._shape.instances,
@@ -277,17 +285,33 @@
         share = self._rng.choice((0.2, 1.0))
         kind = self._rng.choice(("slow", "fail_fast", "stall", "stall_mid", "spoil", "reset", "deaf"))
         value: Any = {"slow": 1.0 + 6 * share, "deaf": True}.get(kind, share)
-        self._world.mood(name, **{kind: value})
+        self._set_mood(name, **{kind: value})
         await asyncio.sleep(self._rng.uniform(0.5, 4.0))
-        self._world.mood(name)
+        self._set_mood(name)
         self._busy.discard(name)
 
+    def _draw_duplicates(self) -> None:
+        """Let some nodes send answers a second time, late. Drawn apart: a seed keeps its faults."""
+        rng = random.Random(f"{self.report.seed}:duplicates")
+        for name in self._world.nodes:
+            if rng.random() < DUPLICATE_SHARE:
+                self._duplicates[name] = {
+                    "duplicate": rng.uniform(0.02, 0.2), "duplicate_ms": DUPLICATE_MS,
+                    "duplicate_kinds": rng.sample(KINDS, rng.randint(1, len(KINDS))),
+                    "read_late_ms": rng.choice((0.0, 15.0)), "turn_away": rng.choice((0.0, 0.04)),
+                }  # fmt: skip
+                self._set_mood(name)
+
+    def _set_mood(self, name: str, **mood: Any) -> None:
+        self._world.mood(name, **self._duplicates.get(name, {}), **mood)
+
     async def _kill_node(self) -> None:
         name = self._free(list(self._world.nodes))
         if name:
             await self._world.kill_node(name)
             await asyncio.sleep(self._rng.uniform(0.5, 3.0))
             await self._world.revive_node(name)
+            self._set_mood(name)
             self._busy.discard(name)
 
     async def _drain_node(self) -> None:
@@ -333,6 +357,8 @@
     def _judge(self) -> None:
         verdict = self._world.account.judge()
         self.report.asked, self.report.in_time = verdict.asked, verdict.in_time
+        self.report.duplicates = sum(node.seen["duplicated"] for node in self._world.nodes.values())
+        self.report.crossed = sum(node.seen["crossed"] for node in self._world.nodes.values())
         self.report.broken += [f"{b.rule}: {b.instance} {b.id} {b.node}: {b.text}" for b in verdict.breaks]
         for name, instance in self._world.instances.items():
             found = [line for line in instance.log.splitlines() if TROUBLE.search(line)]
--- a/covetally/rig/surplus_answer.py
+++ b/covetally/rig/surplus_answer.py
@@ -23,7 +23,7 @@
         case "half_line":
             return [answer[: rng.randrange(1, line_end)]]
         case "half_head":
-            return [answer[: rng.randrange(line_end, head_end)]]
+            return [answer[: rng.randrange(line_end, head_end + 1)]]
         case "interim":
             return [b"HTTP/1.1 100 Continue\r\n\r\n" + answer]
     raise ValueError(f"no second answer of the kind {kind!r}")
