Judge overdue requests by when the check was due, not by when a held-up loop ran it

The check was due first and fired first, but compared deadlines with the present (`Sidecar._answer_overdue`): the timers of the attempts whose deadlines had passed meanwhile were still to fire. Change: it compares with the time at which it was due. Test: test_a_deadline_that_passes_while_the_event_loop_is_held_up_is_no_violation, both classes fail before, pass after.

--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -247,18 +247,19 @@
         self._handle(PeerMessage(blob))
 
     def _schedule_sweep(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._sweep = self.wheel.call_at(loop.time() + SWEEP_S, self._answer_overdue)
+        loop, due_ns = asyncio.get_running_loop(), self._clock.now() + int(SWEEP_S * 1e9)
+        self._sweep = self.wheel.call_at(loop.time() + SWEEP_S, partial(self._answer_overdue, due_ns))
 
-    def _answer_overdue(self) -> None:
+    def _answer_overdue(self, due_ns: int) -> None:
         """Answer requests that the balancer has left unanswered past their deadline, so that a bug in it does
         not leave a client waiting.
 
         A periodic check of all open requests replaces a timer for each, which would be set and cancelled with
-        every request.
+        every request. What counts is when the check was due: if the event loop was held up, timers of attempts that
+        were due after it are still to fire.
         """
         self._sweep = None
-        overdue_before = self._clock.now() - OVERDUE_NS
+        overdue_before = due_ns - OVERDUE_NS
         for tid, call in [pair for pair in self._calls.items() if pair[1].deadline_ns < overdue_before]:
             if not call.over:
                 self.violations.report(Invariant.OVERDUE, self._client_id(tid), "not answered by its deadline")
--- a/tests/incidents/test_guards.py
+++ b/tests/incidents/test_guards.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+import time
 
 import pytest
 
@@ -17,6 +18,9 @@
 from tests.support import MS
 
 
+HELD_UP_S = 0.15  # as long as the platform may hold a process up
+
+
 async def reset_connection(server, received, reader, writer) -> None:
     """The script of a server that receives each request and resets the connection."""
     writer.transport.abort()
@@ -57,6 +61,24 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("cls", ["look", "pay"])
+def test_a_deadline_that_passes_while_the_event_loop_is_held_up_is_no_violation(cls):
+    """The check of overdue requests fired before the timers of their attempts, which were due by then as well."""
+
+    async def main():
+        async def hang(server, received, reader, writer):
+            await asyncio.sleep(1.0)
+
+        async with sidecar_harness(hang) as harness:
+            status = asyncio.create_task(harness.status(request("held", cls, expires="0.1")))
+            await wait_until(lambda: harness.servers["s0"].requests)
+            time.sleep(HELD_UP_S)
+            assert await status in (502, 503)
+            assert not harness.sidecar.violations.total
+
+    asyncio.run(main())
+
+
 def test_tracing_logs_each_attempt_and_each_response_with_the_request_id(caplog):
     async def main():
         async with sidecar_harness(respond_ok) as harness:
