--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -255,8 +255,8 @@
         not leave a client waiting.
 
         A periodic check of all open requests replaces a timer for each, which would be set and cancelled with
-        every request. What counts is when the check was due: if the event loop was held up, timers of attempts that
-        were due after it are still to fire.
+        every request. What counts is when the check was due: if the event loop was held up, timers of attempts
+        that were due after it are still to fire.
         """
         self._sweep = None
         overdue_before = due_ns - OVERDUE_NS
