Rig: let sidecars listen for peers below the ports that the kernel draws

The sidecar did what it should; the rig gave it a port that was taken. Cause: `Datagrams.listen_address` took the port beside the network's own, which the kernel had drawn. A test process at the same time may have drawn that one for its network, on all addresses, and then no other socket can have it on any. Change: members listen at 20000 to 29999, below the range from which ports are drawn. Test: test_members_can_listen_whatever_ports_the_kernel_gives_to_others fails before with errno 98, passes after.

--- a/covetally/rig/datagrams.py
+++ b/covetally/rig/datagrams.py
@@ -20,6 +20,8 @@
 IP_PKTINFO = getattr(socket, "IP_PKTINFO", 8)
 TO_ALL = 255
 MOST = 250
+# Below the range from which the kernel draws ports: a socket on 0.0.0.0 in another process may have any of those.
+LISTEN_PORTS = range(20_000, 30_000)
 
 
 class Datagrams:
@@ -45,7 +47,7 @@
 
     def listen_address(self, member: int) -> str:
         """Where a member is to listen: known before it starts, and the same after a restart."""
-        return f"127.{self._net}.{member}.254:{self.port + 1 if self.port < 65535 else self.port - 1}"
+        return f"127.{self._net}.{member}.254:{LISTEN_PORTS[self.port % len(LISTEN_PORTS)]}"
 
     def configure(self, member: int, size: int) -> dict[str, object]:
         """The keys of a member's configuration."""
--- a/tests/rig/test_standins.py
+++ b/tests/rig/test_standins.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
+import socket
 from contextlib import asynccontextmanager
 
 import pytest
 
+from covetally.rig.datagrams import Datagrams
 from covetally.rig.discovery import Discovery
 from covetally.rig.load import Load, Plan
 from covetally.rig.node import Node, Spec, spec_from
@@ -370,3 +374,17 @@
             assert instance.running
 
     run(main)
+
+
+def test_members_can_listen_whatever_ports_the_kernel_gives_to_others():
+    """Another process's network had the port beside this one's on all addresses, and a sidecar could not start."""
+    net = Datagrams(1 + os.getpid() % 250, 1)
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other,
+        socket.socket(type=socket.SOCK_DGRAM) as member,
+    ):
+        with contextlib.suppress(OSError):  # taken already, by another such network
+            other.bind(("0.0.0.0", net.port + 1))
+        host, _, port = net.listen_address(0).rpartition(":")
+        member.bind((host, int(port)))
+    net._sock.close()
