--- a/tests/rig/test_standins.py
+++ b/tests/rig/test_standins.py
@@ -377,7 +377,7 @@
 
 
 def test_members_can_listen_whatever_ports_the_kernel_gives_to_others():
-    """Another process's network had the port beside this one's on all addresses, and a sidecar could not start."""
+    """Another process's network had the port beside this one's on all addresses: a sidecar did not start."""
     net = Datagrams(1 + os.getpid() % 250, 1)
     with (
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other,
