Discovery: drop a stale answer whole, also where its version comes after its entries

What was found on reading: a stale answer that was complete went on to `_use_partial_list`, which parsed it a second time and kept its entries back only where the version stands before them. With the version last, a server that drains counted as active again. Change: the call drops what it received along with its connection, so there is nothing left to use.

--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -195,7 +195,7 @@
         try:
             update = parse_list(self._settings, _parsed(task.result()))
             if self._is_stale(open_call, update.generation):
-                open_call.call.close()
+                open_call.call.discard()
                 raise ListError(f"version {update.generation} after {self._index}, on a reused connection")
         except (OSError, Malformed, ListError) as error:
             self._call_failed(open_call, f"{type(error).__name__}: {error}")
--- a/covetally/net/discovery_call.py
+++ b/covetally/net/discovery_call.py
@@ -54,6 +54,11 @@
             return None
         return connection
 
+    def discard(self) -> None:
+        """Close the connection and drop what was received: it does not answer this call."""
+        self.close()
+        self.received.clear()
+
     def close(self) -> None:
         """Close the connection, if there is one."""
         if self._connection is not None:
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -112,12 +112,15 @@
 
 
 @pytest.mark.parametrize("whole", [True, False])
-@pytest.mark.parametrize("kind", ["complete", "truncated"])
+@pytest.mark.parametrize("kind", ["complete", "version last", "truncated"])
 def test_a_late_copy_of_an_older_list_does_not_take_a_drain_back(kind, whole):
     """The copy was read as the answer to the next call: the server that drains counted as active again."""
 
     async def main():
         older = members(5, "active", "active", whole=whole)
+        if kind == "version last":
+            fields = json.loads(older.partition(b"\r\n\r\n")[2])
+            older = response(json.dumps(dict(reversed(fields.items()))).encode())
         answers = [members(5, "active", "active"), members(6, "active", "leaving", whole=whole)]
         seen: list[tuple[int, str]] = []
 
@@ -126,7 +129,7 @@
             if number <= len(answers):
                 writer.write(answers[number - 1])
             elif server.connections == 1:
-                writer.write(older if kind == "complete" else older[:-2])
+                writer.write(older[:-2] if kind == "truncated" else older)
                 if kind == "truncated":
                     writer.close()
             else:
