--- a/benchmarks/duplicates.py
+++ b/benchmarks/duplicates.py
@@ -1,7 +1,7 @@
 """Second answers that come late, on real processes: `python -m benchmarks.duplicates [--seeds 20]`.
 
-See covetally/rig/duplicates.py. With --pairs each seed is also played without second answers. Exit status 1 if a
-rule was broken on any seed.
+See covetally/rig/duplicates.py. With --none the same plays go without second answers, which shows what the
+protection costs. Exit status 1 if a rule was broken on any seed.
 """
 
 from __future__ import annotations
--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -64,7 +64,7 @@
     __slots__ = (
         "_abandon_timer", "_deferred", "_done", "_head_status", "_incarnation", "_last", "_last_byte_delay_s",
         "_limits", "_phase", "_phase_timer", "_pool", "_reader", "_request", "_reused", "_sent", "_server",
-        "_socket", "_started_ns", "_stream", "_use",
+        "_socket", "_started_ns", "_stream", "use",
     )  # fmt: skip
 
     def __init__(
@@ -74,7 +74,7 @@
         self._pool, self._request, self._done = pool, request, done
         self._limits = limits
         self._stream: ServerConnection | None = None
-        self._use: ConnectionUse | None = None
+        self.use: ConnectionUse | None = None  # of the last connection, for logs
         self._socket: socket.socket | None = None  # while the connection is being established
         # Ends CONNECTING, SETTLING, DELAYING and TAIL.
         self._phase_timer: asyncio.TimerHandle | Timer | None = None
@@ -111,7 +111,7 @@
             return
         connection, idle_s, wait_s = idle
         self._stream = connection
-        self._use = ConnectionUse(connection.number, connection.carried, idle_s + wait_s)
+        self.use = ConnectionUse(connection.number, connection.carried, idle_s + wait_s)
         connection.on_input, connection.on_flushed = self._on_input, self._on_flushed
         self._reused = True
         self._incarnation = self._server.incarnation
@@ -178,7 +178,7 @@
         except OSError as failure:
             self._fail(self._pool.classify_connect_error(self._server, failure.errno))
             return
-        self._use = ConnectionUse(self._stream.number, 0, 0.0)
+        self.use = ConnectionUse(self._stream.number, 0, 0.0)
         self._socket = None
         self._pool.record_connected(self._server)
         self._write(0.0)
@@ -333,7 +333,7 @@
         if result.status is AttemptStatus.OK and response.status != SWITCHED:
             reason = self._pool.guard.doubt(stream, response.body, self._pool.loop.time())
             if reason:
-                log.warning("doubtful response on %s: %s", self._use, reason)
+                log.warning("doubtful response on %s: %s", self.use, reason)
                 self._fail(AttemptStatus.UNUSABLE_RESPONSE)
                 return
         if response.status == SWITCHED:
@@ -375,11 +375,11 @@
         stream.carried += 1
         stream.last_answer_ok = self._head_status is None
         reusable = stream.prepare_next_message()
+        stream.idle_since = self._pool.loop.time()
         if reusable and self._sent and not server.draining and self._incarnation == server.incarnation:
             self._stream = None
             self._pool.add_idle(server, stream)
         elif stream.leftover:
-            stream.idle_since = self._pool.loop.time()
             self._pool.record_surplus(stream)
 
     # --- the end --------------------------------------------------------------------------------
@@ -431,7 +431,7 @@
         self._server.unsent.discard(self)
         if self._stream is not None or self._socket is not None:
             self._close_connection()
-        self._report(outcome._replace(use=self._use))
+        self._report(outcome)
 
     def _report(self, outcome: Outcome) -> None:
         if self._deferred:
--- a/covetally/net/outcome.py
+++ b/covetally/net/outcome.py
@@ -7,7 +7,6 @@
 
 from covetally.interface import AttemptStatus
 from covetally.net.http_message import HttpResponse, Headers, ResponseHead
-from covetally.net.server_connection import ConnectionUse
 
 Load = Mapping[str, float]
 NO_LOAD: Load = {}
@@ -56,11 +55,10 @@
     """The result of an attempt.
 
     `response` is present if it settles the request. `latency_ns` is the time that the server took to respond; the
-    time that the response waited in this process is not included. `use` tells on which connection it was, if any.
+    time that the response waited in this process is not included.
     """
 
     status: AttemptStatus
     load: Load
     response: HttpResponse | None = None
     latency_ns: int = 0
-    use: ConnectionUse | None = None
--- a/covetally/net/server.py
+++ b/covetally/net/server.py
@@ -14,6 +14,8 @@
 from covetally.net.server_connection import ServerConnection
 from covetally.net.timer_wheel import Timer, TimerWheel
 
+MAX_WAITING = 3  # attempts at one server that wait for an idle connection; a further one opens a connection
+
 
 class UnsentAttempt(Protocol):
     """An attempt whose request is not completely written yet."""
@@ -22,9 +24,6 @@
         """Called when the server accepts no new requests any more."""
 
 
-MAX_WAITING = 3  # attempts at one server that wait for an idle connection; a further one opens a connection
-
-
 class IdleConnection(NamedTuple):
     """A connection out of the pool, the time that it was idle and the time until it may be used, both in s."""
 
--- a/covetally/net/server_connection.py
+++ b/covetally/net/server_connection.py
@@ -35,7 +35,7 @@
         super().__init__(httptools.HttpResponseParser, sock, on_input, on_flushed)
         self.number = next(_numbers)
         self.carried = 0  # requests that were completely answered
-        self.idle_since = 0.0  # on the loop's clock
+        self.idle_since = 0.0  # when its last answer ended, on the loop's clock
         self.last_answer_ok = True  # the last answer was a 200
         # The last complete 200 responses by the hash of the body, and when each ended, on the loop's clock.
         self.answers: dict[int, float] = {}
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -247,8 +247,8 @@
         self._handle(PeerMessage(blob))
 
     def _schedule_sweep(self) -> None:
-        loop, due_ns = asyncio.get_running_loop(), self._clock.now() + int(SWEEP_S * 1e9)
-        self._sweep = self.wheel.call_at(loop.time() + SWEEP_S, partial(self._answer_overdue, due_ns))
+        due_ns = self._clock.now() + int(SWEEP_S * 1e9)
+        self._sweep = self.wheel.call_at(self._clock.loop_time(due_ns), partial(self._answer_overdue, due_ns))
 
     def _answer_overdue(self, due_ns: int) -> None:
         """Answer requests that the balancer has left unanswered past their deadline, so that a bug in it does
@@ -337,13 +337,13 @@
     def _attempt_ended(self, action: Submit, call: _Call, number: int, sent_ns: int, outcome: Outcome) -> None:
         """Report the outcome of an attempt to the balancer, and answer the client if the outcome settles the
         request."""
-        del call.attempts[number]
+        attempt = call.attempts.pop(number)
         tid = action.tid
         if self.tracing:
             log.debug(
                 "request %s: attempt %d at %s ended after %.1f ms: %s, on %s",
                 self._client_id(tid), number, action.server, (self._clock.now() - sent_ns) / 1e6,
-                outcome.status.name, outcome.use or "no connection",
+                outcome.status.name, attempt.use or "no connection",
             )  # fmt: skip
         if (response := outcome.response) is not None:
             if response.switched is not None:
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -127,13 +127,12 @@
     def add_idle(self, server: Server, connection: ServerConnection) -> None:
         """Add the connection of a finished exchange to the idle pool. It is closed before the server's own idle
         timeout."""
-        now = self.loop.time()
         server.idle[connection] = None
-        connection.idle_since = now
         connection.on_flushed = ignore_event
         connection.on_input = partial(self._on_idle_input, server, connection)
         if server.idle_timer is None:
-            server.idle_timer = self.wheel.call_at(now + self._idle_s, partial(self._close_expired, server))
+            expires = connection.idle_since + self._idle_s
+            server.idle_timer = self.wheel.call_at(expires, partial(self._close_expired, server))
 
     def _close_expired(self, server: Server) -> None:
         """Close connections that were idle for too long, and schedule the next check.
--- a/tests/test_reuse_guard.py
+++ b/tests/test_reuse_guard.py
@@ -81,10 +81,8 @@
 @pytest.mark.parametrize("part", PARTS)
 @pytest.mark.parametrize("size", [1, 5, 1000])
 def test_a_part_of_an_answer_and_a_whole_one_are_not_read_as_one(part, size):
-    data, parser = (
-        part + response(b"fine", b"503 Full", b"X-Never-Ran: 1"),
-        MessageParser(httptools.HttpResponseParser),
-    )
+    data = part + response(b"fine", b"503 Full", b"X-Never-Ran: 1")
+    parser = MessageParser(httptools.HttpResponseParser)
     for at in range(0, len(data), size):
         parser.feed(data[at : at + size])
     assert isinstance(parser.error, Malformed) and not parser.parts
