Review case 2: servers that a whole list leaves out get work for good

Where discovery's answers end with their connection, a whole list counts as cut: what it leaves out stays on the list.

--- a/review/standins.py
+++ b/review/standins.py
@@ -130,10 +130,12 @@
 
 
 class Discovery:
-    """The platform's discovery: the whole list, and watches that end with the changes."""
+    """Discovery, as an agent beside a sidecar: the whole list, and watches that end with the changes,
+    or with the whole list if `whole` is set. Without `with_length` its answers end with their connection."""
 
-    def __init__(self, record: Record) -> None:
-        self._record = record
+    def __init__(self, record: Record, with_length: bool = True, whole: bool = False) -> None:
+        self._record, self._with_length, self._whole = record, with_length, whole
+        self.named: list[tuple[float, set[str]]] = []  # when a whole list was written, and whom it named
         self.generation = 41
         self.entries: dict[str, dict[str, Any]] = {}
         self._changes: list[tuple[int, dict[str, Any]]] = []
@@ -154,6 +156,10 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    def leave_out(self, name: str) -> None:
+        """Lists name this server no more: it drains or is gone."""
+        self.change(self.entries[name] | {"lifecycle": "left"})
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             await self._answer_calls(reader, writer)
@@ -168,12 +174,20 @@
             if index >= 0 and index >= self.generation:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), min(int(fields.get("wait", 0)), 60_000) / 1000)
-            whole = index < 0
+            whole = index < 0 or (self._whole and index < self.generation)
             items = list(self.entries.values()) if whole else [e for g, e in self._changes if g > index]
             text = json.dumps({"generation": self.generation, "reset": whole, "instances": items}).encode()
             self._record.write("discovery", f"{query or 'whole list'}: version {self.generation}, {len(items)}")
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+            how = b"Content-Length: %d" % len(text) if self._with_length else b"Connection: close"
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + how + b"\r\n\r\n" + text)
             await writer.drain()
+            if not self._with_length:
+                writer.close()  # nothing is unread: the end of the input, not a reset
+                await writer.wait_closed()
+            if whole:
+                self.named.append((time.monotonic(), set(self.entries)))
+            if not self._with_length:
+                return
 
 
 Work = Callable[["Exchange"], Awaitable[None]]
@@ -200,9 +214,10 @@
     replace what it does when a head has come, and how it answers."""
 
     def __init__(self, record: Record, name: str, cell: int, zone: int, work_s: float = 0.03) -> None:
-        self._record, self.name, self.cell, self.zone, self.work_s = record, name, cell, zone, work_s
+        self.record, self.name, self.cell, self.zone, self.work_s = record, name, cell, zone, work_s
         self.port = 0
         self.ran: list[tuple[str, str, float]] = []  # id, class, when
+        self.heads: list[tuple[str, float]] = []  # id, when its head had come
         self.on_head: Callable[[Exchange], None] = lambda exchange: None
         self.answer: Work = self.answer_with_length
 
@@ -226,11 +241,12 @@
         try:
             while (head := await read_head(reader)) is not None:
                 exchange = Exchange(self, writer, *head)
+                self.heads.append((exchange.id, time.monotonic()))
                 self.on_head(exchange)
                 length = int(exchange.fields.get("content-length", 0))
                 exchange.body = await reader.readexactly(length)
                 self.ran.append((exchange.id, exchange.cls, time.monotonic()))
-                self._record.write(self.name, f"runs {exchange.id} {exchange.cls} of {length} bytes")
+                self.record.write(self.name, f"runs {exchange.id} {exchange.cls} of {length} bytes")
                 await asyncio.sleep(self.work_s)
                 await self.answer(exchange)
                 if writer.is_closing():
@@ -244,7 +260,7 @@
         body = exchange.answer_body
         exchange.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         await exchange.writer.drain()
-        self._record.write(self.name, f"answers {exchange.id}")
+        self.record.write(self.name, f"answers {exchange.id}")
 
 
 class Client:
