--- a/review/standins.py
+++ b/review/standins.py
@@ -266,11 +266,12 @@
 class Client:
     """An application beside one sidecar: one request at a time on a connection, connections kept. No retries."""
 
-    def __init__(self, record: Record, sidecar: Sidecar) -> None:
-        self._record, self._sidecar = record, sidecar
+    def __init__(self, record: Record, sidecar: Sidecar, patience_s: float = 1.0) -> None:
+        self._record, self._sidecar, self._patience_s = record, sidecar, patience_s
         self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
         self.answers: dict[str, int] = {}  # by id: the status, 0 for none
         self.bodies: dict[str, bytes] = {}
+        self.unanswered: list[str] = []  # had neither an answer nor a close, `patience_s` after their time
 
     async def send(self, cls: str, expires_s: float, size: int = 0, key: bool = False, tenant: str = "") -> str:
         """Send one request, a POST if it has a body or a key, and wait for its answer; returns its id."""
@@ -296,10 +297,12 @@
             self._record.write("client", f"sends {name} {cls} of {size} bytes to {self._sidecar.name}")
             try:
                 writer.write(data)
-                status, fields, body = await asyncio.wait_for(_read_answer(reader), expires_s + 1.0)
+                status, fields, body = await asyncio.wait_for(_read_answer(reader), expires_s + self._patience_s)
             except (ConnectionError, asyncio.IncompleteReadError, TimeoutError) as error:
                 self._record.write("client", f"no answer to {name}: {type(error).__name__}")
                 writer.close()
+                if isinstance(error, TimeoutError):
+                    self.unanswered.append(name)
                 again = reused and not isinstance(error, TimeoutError)  # it may have crossed a close: once more
                 continue
             self.answers[name], self.bodies[name] = status, body
