--- a/review/1/case.py
+++ b/review/1/case.py
@@ -76,4 +76,4 @@
     return (standins.BROKEN if twice or refused else standins.HELD), text
 
 
-standins.main(Path(__file__).resolve().parent, play)
+standins.main(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the disruption.
+# Writes review/1/record.txt. Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 exec .venv/bin/python review/1/case.py
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -93,4 +93,4 @@
     return (standins.BROKEN if lost else standins.HELD), text
 
 
-standins.main(Path(__file__).resolve().parent, play)
+standins.main(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the disruption.
+# Writes review/2/record.txt. Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 exec .venv/bin/python review/2/case.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -33,8 +33,10 @@
 class Record:
     """What was sent, answered and run, in the order of time."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open(
+            "w", encoding="utf-8", buffering=1
+        )  # line by line: a run that is killed keeps its own
         self._began = time.monotonic()
 
     def write(self, who: str, what: str) -> None:
@@ -328,9 +330,9 @@
 Play = Callable[[Record, Path], Awaitable[tuple[int, str]]]
 
 
-def main(folder: Path, play: Play, within_s: float = 110.0) -> None:
-    """Play a case, say how it ended, and exit with its status."""
-    record = Record(folder)
+def main(record_path: Path, play: Play, within_s: float = 110.0) -> None:
+    """Play a case, write its record, say how it ended, and exit with its status."""
+    record = Record(record_path)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     try:
         status, text = asyncio.run(_within(play(record, temporary), within_s))
