--- a/covetally/rig/stopping.py
+++ b/covetally/rig/stopping.py
@@ -11,20 +11,13 @@
 import itertools
 import random
 import time
-from collections import Counter
 from dataclasses import dataclass, field
 
-from covetally.rig import wire
+from covetally.rig.usual_clients import LATEST_S, Address, UsualReport, read_status, send_usual, usual_request
 from covetally.rig.world import Shape, World
 
-Address = tuple[str, int]
-Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
 KINDS = ("head", "body", "drip", "kept", "silent")
 USUAL_CLIENTS = 4
-USUAL_PAUSE_S = 0.02
-DEADLINE_S = 1.0  # of a usual request
-LATEST_S = DEADLINE_S + 0.5  # a request without an answer by then is lost
 OWED_WITHIN_S = 3.0  # from connecting, a client that stops is owed an error or a close
 BURST_AT_S = 0.5
 DRIP_S = 0.05
@@ -70,12 +63,9 @@
 
 
 @dataclass
-class Report:
+class Report(UsualReport):
     """What the clients of one play saw."""
 
-    statuses: Counter[int] = field(default_factory=Counter)  # of usual requests
-    unanswered: list[str] = field(default_factory=list)
-    closed: list[str] = field(default_factory=list)  # first requests on a connection that were closed unanswered
     waits_s: list[float] = field(default_factory=list)  # of clients that stopped, until an error or a close
     served: int = 0  # clients that stopped and were answered 200
     log: str = ""
@@ -83,8 +73,7 @@
     def broken(self) -> list[str]:
         """What was owed and not kept, in words."""
         late = [wait for wait in self.waits_s if wait > OWED_WITHIN_S]
-        found = [f"{name} had no answer" for name in self.unanswered]
-        found += [f"{name} was read and closed with no answer" for name in self.closed]
+        found = super().broken()
         found += [f"a client that stopped waited {wait:.2f} s" for wait in late]
         found += ["a client that stopped was answered 200"] * self.served
         return found
@@ -98,56 +87,6 @@
         }  # fmt: skip
 
 
-async def _read_status(reader: asyncio.StreamReader) -> tuple[int, bool]:
-    """The status of the next answer, and whether its connection goes on."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    (_, status, *_), headers = wire.parse_head(head[:-4])
-    await reader.readexactly(int(headers.get(b"content-length", b"0")))
-    return int(status), headers.get(b"connection", b"").lower() != b"close"
-
-
-def _usual_request(name: str) -> bytes:
-    headers = {
-        "Host": "app.svc", "X-Trace-Id": name, "X-Qos": "module-lookup", "X-Customer": "officina-brescia",
-        "X-Expires-In": f"{DEADLINE_S:.3f}",
-    }  # fmt: skip
-    return wire.request("GET", "/api?sid=5f3a", headers)
-
-
-async def _send_usual(address: Address, number: int, plan: StoppingPlan, report: Report) -> None:
-    """Send one request after the other, on a kept connection where there is one."""
-    ends_at = time.monotonic() + plan.length_s
-    connection: Connection | None = None
-    for turn in itertools.count():
-        if time.monotonic() > ends_at:
-            break
-        name = f"usual{number}-{turn}"
-        reused = connection is not None
-        try:
-            async with asyncio.timeout(LATEST_S):
-                if connection is None:
-                    connection = await asyncio.open_connection(*address)
-                connection[1].write(_usual_request(name))
-                status, kept = await _read_status(connection[0])
-        except ConnectionRefusedError:
-            break  # the sidecar has ended
-        except TimeoutError:
-            report.unanswered.append(name)
-            connection = None
-        except (asyncio.IncompleteReadError, ConnectionError):
-            if not reused and not plan.ends:  # one that crosses the close of an idle connection is sent again
-                report.closed.append(name)
-            connection = None
-        else:
-            report.statuses[status] += 1
-            if not kept:
-                connection[1].close()
-                connection = None
-        await asyncio.sleep(USUAL_PAUSE_S)
-    if connection is not None:
-        connection[1].close()
-
-
 async def _stop_halfway(address: Address, kind: str, number: int, delay_s: float, report: Report) -> None:
     """Connect, send a part of a request, and stay until the sidecar answers or closes."""
     await asyncio.sleep(delay_s)
@@ -158,9 +97,9 @@
         return  # the sidecar has ended
     with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, TimeoutError):
         if kind == "kept":
-            writer.write(_usual_request(f"good{number}"))
+            writer.write(usual_request(f"good{number}"))
             try:
-                await asyncio.wait_for(_read_status(reader), LATEST_S)
+                await asyncio.wait_for(read_status(reader), LATEST_S)
             except TimeoutError:
                 report.unanswered.append(f"good{number}")
             started_at = time.monotonic()
@@ -183,7 +122,7 @@
     async with World(Shape(nodes=3, instances=1, sockets=plan.sockets, seed=plan.seed + 1)) as world:
         await world.start_instances()
         address = world.instances["a0"].address
-        work = [_send_usual(address, number, plan, report) for number in range(USUAL_CLIENTS)]
+        work = [send_usual(address, number, plan.length_s, plan.ends, report) for number in range(USUAL_CLIENTS)]
         for burst, client in itertools.product(range(plan.bursts), range(plan.count)):
             delay_s = BURST_AT_S + burst * plan.burst_every_s + client * plan.step_s
             kind = plan.kinds[client % len(plan.kinds)]
