Limit the header fields of a head to 100: more get a 431, before the head is complete

What callers saw: processes that died with nothing logged, after clients had connected that begin a head of very many short fields.

Cause: heads were limited to 16 KiB of bytes only. Each field becomes a tuple, two byte strings and entries in a list and a mapping: some 300 bytes for the five of "a:b". A head of 15 kB held 0.5 MB, and one that stays incomplete holds it for 2.2 s.

Change: MessageParser stops at field 101 with 431 (servers' heads: an unusable response), whether or not the head is complete. The protocol's own heads have about ten fields; 100 is what Envoy allows.

--- a/covetally/net/http_message.py
+++ b/covetally/net/http_message.py
@@ -12,6 +12,7 @@
 import httptools
 
 MAX_HEAD = 16 * 1024  # heads usually have a few hundred bytes; a larger one only wastes memory
+MAX_FIELDS = 100  # header fields of a head: each costs far more memory and time than its bytes
 MAX_BODY = 64 * 1024  # the limit of the protocol, for requests and responses
 
 BODILESS_STATUS = (204, 304)
@@ -242,6 +243,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.surplus:
+            if len(self._headers) >= MAX_FIELDS:
+                raise Malformed("too many header fields", 431)
             self._headers.append((name.lower(), value.strip()))
             if b"HTTP/1." in value and not self._parses_requests and contains_status_line(value):
                 raise Malformed(MERGED_RESPONSES)
