--- a/benchmarks/memory_pressure.py
+++ b/benchmarks/memory_pressure.py
@@ -11,7 +11,8 @@
 import click
 
 from benchmarks.report import progress, show
-from covetally.rig.memory_pressure import EVENTS, KINDS, PressurePlan, play
+from covetally.rig.memory_clients import KINDS
+from covetally.rig.memory_pressure import EVENTS, PressurePlan, play
 
 
 @click.command()
--- a/benchmarks/sampled.py
+++ b/benchmarks/sampled.py
@@ -24,7 +24,7 @@
     ("net/request_validation.py", (), "admission"),
     ("net/recent_ids.py", (), "admission"),
     ("net/client_connection.py", ("_on_head",), "admission"),
-    ("net/budget.py", (), "admission"),
+    ("net/memory.py", (), "admission"),
     ("net/client_connection.py", ("_send", "finish", "_on_response_written", "_linger"), "answer"),
     ("net/http_message.py", ("encode",), "write"),
     ("net/http_message.py", (), "parse"),
--- a/covetally/configuration.py
+++ b/covetally/configuration.py
@@ -25,7 +25,7 @@
 log = logging.getLogger("covetally")
 
 # A change of these takes effect only after a restart.
-RESTART_ONLY = ("name", "listen", "peer_listen", "sockets", "memory", "load_fields", "backlog")
+RESTART_ONLY = ("name", "listen", "peer_listen", "sockets", "load_fields", "backlog")
 assert set(RESTART_ONLY) <= {f.name for f in fields(Config)}
 NO_ROSTER = "roster.source is not set: the platform's list is applied directly"
 
--- a/covetally/control/status.py
+++ b/covetally/control/status.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from covetally.net.http_message import HttpResponse
+from covetally.net.memory import MemoryKind
+from covetally.net.resident_memory import resident_bytes
 
 if TYPE_CHECKING:
     from covetally.loop_monitor import LoopMonitor
@@ -113,16 +115,18 @@
     async def snapshot(self) -> dict[str, Any]:
         """Return the full status: the heartbeat, limits, classes, nodes, violations and recent errors."""
         process, config = self._process, self._process.config
+        memory = process.frontend.memory
         return self.heartbeat() | {
             "pid": os.getpid(),
             "started": self.started,
-            "memory_kib": _resident_kib(),
+            "memory_kib": resident_bytes() // 1024,
             "listen": "{}:{}".format(*process.address),
             "limits": {
                 "client_connections": [process.frontend.connections, config.client_connections],
                 "server_connections": [process.upstream.connections, config.server_connections],
-                "body_memory": [config.body_memory - process.frontend.budget.free, config.body_memory],
-                "memory": [_resident_kib() * 1024, config.memory],
+                "body_memory": [memory.held[MemoryKind.INCOMPLETE], config.body_memory],
+                "peer_memory": [memory.used, memory.size],
+                "memory": [resident_bytes(), config.memory],
                 "max_attempts": config.settings.limits.max_attempts,
             },
             "classes": {
@@ -141,15 +145,8 @@
             ],
             "held_up": {"count": process.monitor.stalls, "longest_s": round(process.monitor.longest_stall_s, 3)},
             "surplus_answers": process.upstream.guard.table(process.upstream.loop.time()),
+            "peer_memory": memory.table(),
             "violations": process.sidecar.violations.table(),
             "closed": {reason.value: count for reason, count in process.frontend.closed.items()},
             "errors": list(self.recent_log.errors),
         }  # fmt: skip
-
-
-def _resident_kib() -> int:
-    try:
-        with open("/proc/self/statm", encoding="ascii") as file:
-            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") // 1024
-    except (OSError, ValueError, IndexError):  # not Linux
-        return 0
--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -33,6 +33,7 @@
 
 from covetally.interface import NOT_EXECUTED, AttemptStatus
 from covetally.net.http_message import Broken, End, Malformed, SwitchedConnection
+from covetally.net.memory import MemoryExhausted, MemoryKind, MemoryReservation
 from covetally.net.outcome import NO_LOAD, AttemptLimits, Outcome, Request
 from covetally.net.response_reader import SWITCHED, ResponseResult, ResponseReader
 from covetally.net.server import ConnectionPool, Server
@@ -67,8 +68,8 @@
 
     __slots__ = (
         "_abandon_timer", "_deferred", "_done", "_head_status", "_incarnation", "_last", "_last_byte_delay_s",
-        "_last_byte_connection", "_last_byte_position", "_limits", "_phase", "_phase_timer", "_pool", "_reader",
-        "_request", "_reused", "_server", "_socket", "_started_ns", "_stream", "use",
+        "_last_byte_connection", "_last_byte_position", "_limits", "_memory", "_phase", "_phase_timer", "_pool",
+        "_reader", "_request", "_reused", "_server", "_socket", "_started_ns", "_stream", "use",
     )  # fmt: skip
 
     def __init__(
@@ -90,6 +91,7 @@
         # Decided by a response's head; nothing after it changes that.
         self._head_status: AttemptStatus | None = None
         self._reader = ResponseReader(request, pool.parse_load_report)
+        self._memory = MemoryReservation(pool.memory)  # of the response
         self._incarnation = 0
         self._phase = CONNECTING
         self._abandon_timer: Timer | None = None
@@ -329,8 +331,12 @@
                     if result is not None:
                         self._on_result(result)
                         return
+            self._memory.resize(MemoryKind.RESPONSE, stream.held + self._reader.held)
             if self._reader.ends_with_connection:
                 self._expect_end()
+        except MemoryExhausted:
+            log.warning("no memory left for a response, of which %d bytes have arrived", stream.received)
+            self._fail(AttemptStatus.CANCELLED)  # this does not indicate a fault of the server
         except Malformed as error:
             # Rejects any response that is not certain to be complete and to belong to this request. A connection
             # that ends inside a response counts as a reset, not as an invalid response.
@@ -468,6 +474,7 @@
         if self._abandon_timer is not None:
             self._abandon_timer.cancel()
         self._server.unsent.discard(self)
+        self._memory.release()
         if self._stream is not None or self._socket is not None:
             self._close_connection()
         self._report(outcome)
--- a/covetally/net/client_connection.py
+++ b/covetally/net/client_connection.py
@@ -23,7 +23,6 @@
 import httptools
 
 from covetally.interface import SECOND
-from covetally.net.budget import BudgetExhausted, BodyReservation
 from covetally.net.close_reason import CloseReason
 from covetally.net.request_validation import SIMPLE_GET, Rejected
 from covetally.net.connection_manager import ConnectionManager
@@ -39,7 +38,8 @@
     encode,
     append_part,
 )
-from covetally.net.outcome import Request
+from covetally.net.memory import CONNECTION_BYTES, MemoryExhausted, MemoryKind, MemoryReservation
+from covetally.net.outcome import Request, encode_head
 from covetally.net.extensions import Upgrade
 from covetally.net.sidecar import refusal as refused
 from covetally.net.stream import Stream
@@ -57,7 +57,7 @@
 LINGER_TIMEOUT_S = 1.0  # how long a closing connection goes on reading what its client sends,
 MAX_LINGER_BYTES = 1024 * 1024  # and how much of it
 TEXT_HEADERS = [(b"content-type", b"text/plain")]
-NO_REQUEST = Request(b"", b"", [], b"")
+NO_REQUEST = Request(b"", b"", b"")
 
 
 class Phase(enum.Enum):
@@ -82,20 +82,20 @@
     """A client connection with its state machine. Implements `Exchange` for the request that it carries."""
 
     __slots__ = (
-        "_admitted", "_request_info", "_awaits_first_request", "_body", "_body_reservation", "_deadline",
-        "_discarded", "_first_bytes", "_head", "_headers", "_id_claimed", "_last_response", "_loop", "_manager",
-        "_phase", "_tid", "_timer", "_timer_at", "_upgrade", "close_after_response", "request", "request_started",
-        "started_at", "stream", "trace_id",
+        "_admitted", "_request_info", "_awaits_first_request", "_body", "_deadline", "_discarded", "_first_bytes",
+        "_head", "_id_claimed", "_last_response", "_loop", "_manager", "_method", "_phase", "_tid",
+        "_timer", "_timer_at", "_upgrade", "close_after_response", "memory", "request",
+        "request_started", "started_at", "stream", "trace_id",
     )  # fmt: skip
 
     def __init__(self, manager: ConnectionManager, sock: socket.socket, connected_at: float) -> None:
+        """Raises OSError if the event loop cannot watch the socket, and MemoryExhausted."""
         self._manager = manager
         self._loop = asyncio.get_running_loop()
         self._phase = READING
-        self._body_reservation = BodyReservation(manager.budget)
         self._tid = ""  # the sidecar's id of the request in WAITING, once it is known
-        self._head: RequestHead | None = None
-        self._headers: Headers = []
+        self._method = b""
+        self._head = b""  # of the current request, as it is forwarded
         self._body: bytes | bytearray = b""
         self.request = NO_REQUEST  # in WAITING
         self._last_response = False  # the connection is closed after the response being written
@@ -113,7 +113,13 @@
         self._first_bytes = 0  # received on this connection up to the first part of the current request
         self._timer: Timer | None = None
         self._timer_at = 0.0
-        self.stream = Stream(httptools.HttpRequestParser, sock, self._on_input, self._on_flushed)
+        self.memory = MemoryReservation(manager.memory)
+        self.memory.resize(MemoryKind.CONNECTION, CONNECTION_BYTES)
+        try:
+            self.stream = Stream(httptools.HttpRequestParser, sock, self._on_input, self._on_flushed)
+        except OSError:
+            self.memory.release()
+            raise
         within_s = REFUSED_REQUEST_TIMEOUT_S if manager.drain_stage.refusing else REQUEST_TIMEOUT_S
         self._set_timeout(max(connected_at + within_s - self._loop.time(), IN_FLIGHT_TIMEOUT_S))
 
@@ -159,6 +165,7 @@
         if phase is LINGERING and not reset:
             self.stream.discard_unread()  # the last response may still be in transit
         self.stream.close(reset)
+        self.memory.release()
         if phase is WAITING and self._tid:
             self._manager.sidecar.client_left(self._tid)
         if self._upgrade is not None:
@@ -167,8 +174,8 @@
 
     def _release_request(self) -> None:
         """Free the current request and its id."""
-        self._body_reservation.release()
-        self._head, self._headers, self._body, self.request = None, [], b"", NO_REQUEST
+        self._head, self._body, self.request = b"", b"", NO_REQUEST
+        self.memory.resize(MemoryKind.CONNECTION, CONNECTION_BYTES)
         if self._id_claimed:
             self._id_claimed = False
             self._manager.release(self.trace_id)
@@ -235,19 +242,35 @@
         elif stream.peer_closed or stream.closed:
             # As in `Frontend._accept_one`: nobody is left to read a response to this input.
             self.close(CloseReason.CLIENT_LEFT)
-        elif (
-            phase is WAITING and stream.paused and self._upgrade is None
-        ):  # after an upgrade the bytes are not HTTP
-            # Guards against clients that send much data behind a request and disconnect: with reading paused the
-            # disconnect would go unnoticed, and the request would be retried for nobody. Pipelined requests are
-            # not supported, so the data can be discarded.
-            stream.discard_input()
-            self.close_after_response = True
         elif phase is READING:
             if self._manager.read_scheduler.may_read_now(self):
                 self.read_input()
+            else:
+                self._charge_input()
         elif stream.eof:
             self.close(CloseReason.CLIENT_LEFT)
+        elif self._upgrade is None:  # after an upgrade the bytes are not HTTP
+            # Guards against clients that send much data behind a request and disconnect: the data would take
+            # memory, and with reading paused the disconnect would go unnoticed. Pipelined requests are not
+            # supported, so the data can be discarded.
+            stream.discard_input()
+            self.close_after_response = self._last_response = True
+
+    def _charge_input(self) -> None:
+        """Charge the memory that an incomplete request takes, or reject it if there is none."""
+        try:
+            size = CONNECTION_BYTES + len(self._head) + len(self._body) + self.stream.held
+            self.memory.resize(MemoryKind.INCOMPLETE, size)
+        except MemoryExhausted:
+            self._reject_for_memory()
+
+    def _reject_for_memory(self) -> None:
+        self._reject(503, "no memory left for the request", refused(self._manager.refusal_ns).headers)
+
+    def free_memory(self) -> None:
+        """Reject an incomplete request, because its memory is needed."""
+        if self._phase is READING:
+            self._reject(503, "incomplete when its memory was needed", refused(self._manager.refusal_ns).headers)
 
     def read_input(self) -> None:
         """Read the input that has arrived. Called directly, or by the read scheduler when it is this connection's
@@ -263,6 +286,8 @@
                 self.started_at = self._loop.time()
                 self._deadline = self.started_at + REQUEST_TIMEOUT_S
         self._read_request()
+        if self._phase is READING and self.request_started:
+            self._charge_input()
         if self._phase is READING and self.request_started:
             self._manager.on_partial_request(self)
             if not self._awaits_first_request and self._timer_at > self._deadline:
@@ -317,45 +342,45 @@
             self._reject(error.status, str(error), error.headers)
         except Rejected as error:
             self._reject(error.status, str(error))
-        except BudgetExhausted:
-            self._reject(503, "no memory left for the request body")
+        except MemoryExhausted:
+            self._reject_for_memory()
         except Broken:
             self.close(CloseReason.CLIENT_LEFT)
 
     def _on_body(self, part: bytes) -> None:
         if len(self._body) + len(part) > MAX_BODY:
             raise Rejected(413, "request body too long")
-        self._body_reservation.grow(len(part))
         self._body = append_part(self._body, part)
 
     def _on_head(self, head: RequestHead) -> None:
-        self._head = head
+        self._method = head.method
         upgrades = self._manager.upgrades
         if upgrades is not None and b"upgrade" in head.fields and upgrades.wants(head):
             self._upgrade = upgrade = upgrades.begin(head)
-            self._headers, self._request_info, self.trace_id = (
-                upgrade.headers,
-                upgrade.request_info,
-                upgrade.trace_id,
-            )
+            self._head = encode_head(head.method, head.target, upgrade.headers)
+            self._request_info, self.trace_id = upgrade.request_info, upgrade.trace_id
             return
-        self._headers, self._request_info, self.trace_id = self._manager.request_validator.validate(head)
+        headers, self._request_info, self.trace_id = self._manager.request_validator.validate(head)
+        self._head = encode_head(head.method, head.target, headers)
         if head.fields.get(b"expect", b"").lower() == b"100-continue":
             self.stream.send(encode(b"HTTP/1.1 100 Continue", [], b""))
 
     def _on_request_complete(self) -> None:
         """Accept or refuse a request that has been received completely."""
-        stream, manager, request_info, head = self.stream, self._manager, self._request_info, self._head
-        assert head is not None
+        stream, manager, request_info = self.stream, self._manager, self._request_info
         upgrade = self._upgrade
         if stream.leftover and upgrade is None:
             # Guards against request smuggling: the protocol allows one request at a time on a connection.
             raise Rejected(400, "more than one request at a time")
+        # A copy of it is kept until the server's kernel has taken it.
+        size = CONNECTION_BYTES + 2 * (len(self._head) + len(self._body))
+        self.memory.resize(MemoryKind.REQUEST, size)
         if request_info is not None:
             if not manager.claim(self.trace_id):
                 raise Rejected(409, "X-Trace-Id is in use by another request")
             self._id_claimed = True
-        body, self._body, self._head = self._body, b"", None
+        head, self._head = self._head, b""
+        body, self._body = self._body, b""
         self._awaits_first_request = False
         manager.on_busy(self)
         self._phase = WAITING
@@ -377,9 +402,9 @@
             if (refusal := manager.upgrades.admit(upgrade)) is not None:
                 self.finish(refusal)
                 return
-            self.request = Request(head.method, head.target, self._headers, b"", upgrade.switch)
+            self.request = Request(self._method, head, b"", upgrade.switch)
         else:
-            self.request = Request(head.method, head.target, self._headers, bytes(body))
+            self.request = Request(self._method, head, bytes(body))
         self._tid = ""
         # The time limit counts from the arrival of the last byte.
         age_ns = time.monotonic_ns() - stream.received_at
@@ -434,6 +459,7 @@
         self._upgrade = None
         self._phase = CLOSED
         self._release_request()
+        self.memory.release()
         if self._timer is not None:
             self._timer.cancel()
         client = self.stream.detach()
@@ -452,12 +478,23 @@
             return
         if flushed:
             self._on_response_written()
-        else:
-            self._set_timeout(WRITE_TIMEOUT_S)
+            return
+        self._set_timeout(WRITE_TIMEOUT_S)
+        try:
+            self.memory.resize(MemoryKind.UNSENT, CONNECTION_BYTES + self.stream.unsent)
+        except MemoryExhausted:
+            log.warning("no memory left for a response that its client does not take: %s", self.trace_id)
+            self.close(CloseReason.SLOW_READER, reset=True)
+
+    @property
+    def writing_since(self) -> float:
+        """Since when the response is being written, in WRITING."""
+        return self._deadline - WRITE_TIMEOUT_S
 
     def _on_response_written(self) -> None:
         """The kernel has taken the whole response: wait for the next request, or close."""
         stream = self.stream
+        self.memory.resize(MemoryKind.CONNECTION, CONNECTION_BYTES)
         if not self._last_response and (
             stream.prepare_next_message() if self.request_started else not stream.leftover
         ):
--- a/covetally/net/config.py
+++ b/covetally/net/config.py
@@ -17,7 +17,7 @@
 # Fractions of the descriptors. A tenth is left for everything else and for bursts.
 CLIENT_FRACTION = 0.5
 UPSTREAM_FRACTION = 0.4
-BODY_FRACTION = 1 / 8  # of the memory limit, for request bodies that are being received
+BODY_FRACTION = 1 / 8  # of the memory limit, for requests that are being received
 
 
 class ConfigError(ConfigurationError):
@@ -45,7 +45,7 @@
     load_fields: frozenset[str]  # the names of the fields in load reports
     client_connections: int
     server_connections: int
-    body_memory: int  # bytes that request bodies may take while they are received
+    body_memory: int  # bytes that requests may take while they are received
     backlog: int = 4096  # many clients may connect at once and wait here until they are accepted
     log_level: str = "info"
 
--- a/covetally/net/connection_manager.py
+++ b/covetally/net/connection_manager.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from covetally.net.budget import BodyBudget
 from covetally.net.close_reason import CloseReason
 from covetally.net.drain_stage import DrainStage
+from covetally.net.memory import MemoryAccount
 from covetally.net.request_validation import RequestValidator
 from covetally.net.extensions import ConnectionLimiter, UpgradeHandler
 from covetally.net.sidecar import Sidecar
@@ -22,7 +22,7 @@
 
     sidecar: Sidecar
     wheel: TimerWheel
-    budget: BodyBudget
+    memory: MemoryAccount
     request_validator: RequestValidator
     gate: ConnectionLimiter | None
     upgrades: UpgradeHandler | None
--- a/covetally/net/eviction.py
+++ b/covetally/net/eviction.py
@@ -19,8 +19,11 @@
 
 import math
 from collections.abc import Iterator
+from itertools import chain
 from typing import TYPE_CHECKING
 
+from covetally.net.memory import MemoryKind, MemoryReservation
+
 if TYPE_CHECKING:
     from covetally.net.client_connection import ClientConnection
 
@@ -72,6 +75,21 @@
         idle = next((client for client in self.idle if client.silent()), None)
         return idle or min(self._slow(now), key=lambda client: client.receive_rate(now), default=None)
 
+    def choose_for_memory(
+        self, requester: MemoryReservation, kind: MemoryKind, size: int
+    ) -> ClientConnection | None:
+        """The connection to reject because memory is needed for a holder that will have `size` bytes: the one
+        whose incomplete request holds most. For another incomplete request it has to hold more than that one."""
+        held = (
+            client
+            for client in chain(self.fresh, self.idle)
+            if client.memory.kind is MemoryKind.INCOMPLETE and client.memory is not requester
+        )
+        largest = max(held, key=lambda client: client.memory.size, default=None)
+        if largest is None or (kind is MemoryKind.INCOMPLETE and largest.memory.size <= size):
+            return None
+        return largest
+
     def next_at(self, now: float) -> float:
         """When the next connection may be evicted if nothing arrives, or a time in the past if one has unread
         input; infinite if there is none."""
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -12,14 +12,14 @@
 from itertools import islice
 
 from covetally.interface import SECOND, Settings
-from covetally.net.budget import BodyBudget
-from covetally.net.client_connection import IN_FLIGHT_TIMEOUT_S, ClientConnection
+from covetally.net.client_connection import IN_FLIGHT_TIMEOUT_S, ClientConnection, Phase
 from covetally.net.close_reason import CloseReason
 from covetally.net.drain_stage import DrainStage, Stage
 from covetally.net.eviction import FIRST_REQUEST_GRACE_S, EvictionOrder
 from covetally.net.request_validation import RequestValidator
 from covetally.net.recent_ids import RecentIds
 from covetally.net.invariants import Invariant
+from covetally.net.memory import CONNECTION_BYTES, MemoryAccount, MemoryExhausted, MemoryKind, MemoryReservation
 from covetally.net.listener import ACCEPT_PAUSE_S, AcceptResult, Listener
 from covetally.net.extensions import Claims, ConnectionLimiter, UpgradeHandler
 from covetally.net.shutdown_times import times_within
@@ -34,6 +34,7 @@
 ACCEPT_BURST = 1 / 16
 REGISTER_ATTEMPTS = 50  # attempts to register an accepted socket with the event loop, ACCEPT_PAUSE_S apart
 MAX_IDLE_SHARE = 1 / 4  # share of the connection limit that may be idle between requests
+SLOW_READER_S = 0.5  # a client that leaves its response unread for this long may be closed if memory is needed
 IDLE_CANDIDATES = 8  # idle connections examined for one that may be closed
 # Between two looks for room while all connections are in use. The end of any of them is noticed at once.
 MIN_ROOM_WAIT_S, MAX_ROOM_WAIT_S = 0.002, 0.1
@@ -45,15 +46,17 @@
     """Accepts client connections within a limit and manages them until they are closed. Implements
     `ConnectionManager`."""
 
-    def __init__(self, settings: Settings, sidecar: Sidecar, limit: int, body_memory: int) -> None:
+    def __init__(self, settings: Settings, sidecar: Sidecar, limit: int, memory: MemoryAccount) -> None:
         self.sidecar = sidecar
         self.wheel = sidecar.wheel
-        self.budget = BodyBudget(body_memory)
+        self.memory = memory
+        memory.reclaim = self._reclaim_memory
+        self._next_connection = MemoryReservation(memory)  # holds nothing; it asks for room
         self.drain_stage = DrainStage()
         self._drain_timer: asyncio.TimerHandle | None = None  # for the next stage of an operator's drain
         self.closed: Counter[CloseReason] = Counter()  # closed connections by reason
         self.gate: ConnectionLimiter | None = None  # enforces connection caps of tenants, if configured
-        self.retune(settings, limit, body_memory)
+        self.retune(settings, limit)
         self._clients: dict[ClientConnection, None] = {}
         self._eviction = EvictionOrder()
         self.on_busy = self._eviction.discard  # see `ConnectionManager.on_busy`
@@ -66,13 +69,12 @@
         self.upgrades: UpgradeHandler | None = None
         self.read_scheduler = ReadScheduler(sidecar)
 
-    def retune(self, settings: Settings, limit: int, body_memory: int) -> None:
-        """Apply new settings and limits. If the connection limit is lowered, excess connections are closed once
+    def retune(self, settings: Settings, limit: int) -> None:
+        """Apply new settings and the connection limit. If that is lowered, excess connections are closed once
         they are idle, not earlier."""
         self.request_validator = RequestValidator(settings)
         self._longest_deadline_s = max(cls.deadline_ns for cls in settings.classes) / SECOND
         self.refusal_ns = settings.limits.max_retry_after_ns if settings.limits.retry_after else 0
-        self.budget.resize(body_memory)
         self._limit = limit
         self._idle_limit = max(1, int(limit * MAX_IDLE_SHARE))
         self._accept_burst = max(8, int(limit * ACCEPT_BURST))
@@ -101,9 +103,19 @@
             self.sidecar.violations.report(Invariant.LISTENER_STALLED, "-", "the listener was paused without end")
             self._listener.resume()
 
+    def _has_room(self) -> bool:
+        """Whether a further connection fits."""
+        return len(self._clients) < self._limit and self.memory.has_room(CONNECTION_BYTES)
+
+    def _make_room(self) -> bool:
+        """Close or shrink one connection for a further one; returns whether there was one."""
+        if len(self._clients) >= self._limit:
+            return self._evict()
+        return self.memory.make_room(self._next_connection, MemoryKind.CONNECTION, CONNECTION_BYTES)
+
     def _accept(self) -> None:
         for number in range(self._accept_burst):
-            if number and len(self._clients) >= self._limit:
+            if number and not self._has_room():
                 return  # evict only once the listener is known to have a connection waiting
             if self._accept_one() in (NONE_WAITING, NO_ROOM):
                 return
@@ -111,11 +123,12 @@
     def _accept_one(self) -> AcceptResult:
         """Accept one connection, if one is waiting and there is room for it."""
         loop = asyncio.get_running_loop()
-        if len(self._clients) >= self._limit and not self._evict():
-            now = loop.time()
-            wait_s = min(max(self._eviction.next_at(now) - now, MIN_ROOM_WAIT_S), MAX_ROOM_WAIT_S)
-            self._listener.pause(now + wait_s)
-            return NO_ROOM
+        while not self._has_room():
+            if not self._make_room():
+                now = loop.time()
+                wait_s = min(max(self._eviction.next_at(now) - now, MIN_ROOM_WAIT_S), MAX_ROOM_WAIT_S)
+                self._listener.pause(now + wait_s)
+                return NO_ROOM
         accepted = self._listener.accept()
         if accepted is NO_ROOM:
             # The listener stays readable: without a pause the event loop would spin on it and serve nothing else.
@@ -147,8 +160,8 @@
         """
         try:
             client = ClientConnection(self, sock, connected_at)
-        except OSError as error:
-            log.warning("cannot register a connection: %s", error)
+        except (OSError, MemoryExhausted) as error:
+            log.warning("cannot register a connection: %s", error or "no memory left")
             if attempts_left > 0:
                 asyncio.get_running_loop().call_later(
                     ACCEPT_PAUSE_S, self._start_connection, sock, connected_at, attempts_left - 1
@@ -166,6 +179,34 @@
             client.make_room()
         return client is not None
 
+    def _reclaim_memory(self, requester: MemoryReservation, kind: MemoryKind, size: int) -> bool:
+        """Free memory for another holder; returns whether there was something to free (see `EvictionOrder`)."""
+        now = asyncio.get_running_loop().time()
+        client = self._eviction.choose_for_memory(requester, kind, size)
+        if client is not None:
+            client.free_memory()
+            return True
+        if kind is MemoryKind.INCOMPLETE:
+            return False
+        for client in (*islice(self._eviction.lingering, 1), *islice(self._eviction.idle, IDLE_CANDIDATES)):
+            if client.memory is not requester and (client.phase is Phase.LINGERING or client.silent()):
+                client.close(CloseReason.MADE_ROOM)
+                return True
+        slow = self._slowest_reader(requester, now - SLOW_READER_S)
+        if slow is not None:
+            slow.close(CloseReason.SLOW_READER, reset=True)
+        return slow is not None
+
+    def _slowest_reader(self, requester: MemoryReservation, since: float) -> ClientConnection | None:
+        """The client that has left its response unread for longest, and at least since then."""
+        readers = [
+            client
+            for client in self._clients
+            if client.memory.kind is MemoryKind.UNSENT and client.memory is not requester
+        ]
+        slowest = min(readers, key=lambda client: client.writing_since, default=None)
+        return slowest if slowest is not None and slowest.writing_since <= since else None
+
     def on_closed(self, client: ClientConnection, reason: CloseReason | None) -> None:
         """Called when a connection is closed (see `ConnectionManager`)."""
         if reason is not None:
--- a/covetally/net/http_message.py
+++ b/covetally/net/http_message.py
@@ -5,12 +5,16 @@
 import enum
 import re
 import socket
+from array import array
 from collections import deque
 from ipaddress import IPv4Address
+from itertools import accumulate, pairwise
 from typing import Any, NamedTuple
 
 import httptools
 
+from covetally.net.memory import FIELD_BYTES
+
 MAX_HEAD = 16 * 1024  # heads usually have a few hundred bytes; a larger one only wastes memory
 MAX_FIELDS = 100  # header fields of a head: each costs far more memory and time than its bytes
 MAX_BODY = 64 * 1024  # the limit of the protocol, for requests and responses
@@ -104,6 +108,14 @@
     return [pair for pair in kept if pair[0] not in nominated]
 
 
+def headers_bytes(headers: Headers) -> int:
+    """The bytes of memory that parsed headers take."""
+    size = FIELD_BYTES * len(headers)
+    for name, value in headers:
+        size += len(name) + len(value)
+    return size
+
+
 def check_length(fields: Fields) -> bool:
     """Return whether the head of a response tells where the response ends; without that, it ends with its
     connection (RFC 9112, section 6.3). Raises Malformed if the length is beyond the limit."""
@@ -173,17 +185,25 @@
         self._target = b""
         self._reason = b""
         self._headers: Headers = []
+        self._packed = bytearray()  # names and values of the earlier headers of an incomplete head
+        self._lengths = array("I")  # of each of them
         self.started = self.complete = False
         self.persistent = True  # the peer allows the connection to be kept for another message
         self._interim = False
         self._ends_with_connection = False  # the head of a response was received, and it has no length
 
+    @property
+    def held(self) -> int:
+        """The bytes of memory that an incomplete head takes."""
+        return len(self._packed) + len(self._lengths) * self._lengths.itemsize + self._bytes_since_part
+
     def release(self) -> None:
         """Drop the httptools parser and everything that was parsed, after the last input. The httptools parser
         references this object, and without the reference cycle both are freed at once."""
         self._parser = self.error = None
         self.parts.clear()
         self._headers = []
+        self._packed, self._lengths = bytearray(), array("I")
         self._target = self._reason = self.leftover = b""
 
     def feed(self, data: bytes) -> None:
@@ -208,9 +228,27 @@
             if not self.complete:
                 self.error = Malformed(str(error))
         self._bytes_since_part = 0 if self.parts else self._bytes_since_part + len(data)
+        if self._headers:
+            self._pack_headers()
         if self._bytes_since_part > MAX_HEAD and self.error is None:
             self.error = Malformed("message head too long", 431)
 
+    def _pack_headers(self) -> None:
+        """Turn the headers of an incomplete head into one block of bytes, which takes much less memory."""
+        texts = [text for header in self._headers for text in header]
+        self._packed += b"".join(texts)
+        self._lengths.extend(map(len, texts))
+        self._headers = []
+
+    def _take_headers(self) -> Headers:
+        headers, self._headers = self._headers, []
+        if not self._lengths:
+            return headers
+        packed, ends = bytes(self._packed), list(accumulate(self._lengths, initial=0))
+        texts = [packed[start:end] for start, end in pairwise(ends)]
+        self._packed, self._lengths = bytearray(), array("I")
+        return [*zip(texts[::2], texts[1::2], strict=True), *headers]
+
     def end(self) -> End:
         """The final part after the peer has closed its side (FIN); Malformed if that is inside a message.
 
@@ -243,7 +281,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.surplus:
-            if len(self._headers) >= MAX_FIELDS:
+            if len(self._lengths) // 2 + len(self._headers) >= MAX_FIELDS:
                 raise Malformed("too many header fields", 431)
             self._headers.append((name.lower(), value.strip()))
             if b"HTTP/1." in value and not self._parses_requests and contains_status_line(value):
@@ -252,7 +290,7 @@
     def on_headers_complete(self) -> None:
         if self.surplus:
             return
-        headers, self._headers = self._headers, []
+        headers = self._take_headers()
         fields, parser = dict(headers), self._parser
         version = parser.get_http_version()
         if version != "1.1":
--- a/covetally/net/outcome.py
+++ b/covetally/net/outcome.py
@@ -19,24 +19,28 @@
         """Raise Malformed if a 101 response does not answer the request."""
 
 
+def encode_head(method: bytes, target: bytes, headers: Headers) -> bytes:
+    """The start line and the headers of a request as they are forwarded, without those that depend on the attempt
+    and on the body. One block of bytes takes much less memory than the headers as objects."""
+    lines = [b"%s %s HTTP/1.1" % (method, target)]
+    lines += [name + b": " + value for name, value in headers if name != b"x-expires-in"]
+    lines.append(b"")
+    return b"\r\n".join(lines)
+
+
 class Request(NamedTuple):
-    """A client's request as it is forwarded to a server, with the body unchanged."""
+    """A client's request as it is forwarded to a server: its head by `encode_head`, and the body unchanged."""
 
     method: bytes
-    target: bytes
-    headers: Headers
+    head: bytes
     body: bytes
     switch: Switch | None = None
 
     def encode(self, expires_s: float) -> bytes:
         """Return the bytes for an attempt that is given up after `expires_s`."""
-        lines = [b"%s %s HTTP/1.1" % (self.method, self.target)]
-        lines += [name + b": " + value for name, value in self.headers if name != b"x-expires-in"]
-        lines.append(b"x-expires-in: %.3f" % expires_s)
-        if self.body or self.method != b"GET":
-            lines.append(b"content-length: %d" % len(self.body))
-        lines += (b"", self.body)
-        return b"\r\n".join(lines)
+        expires = b"x-expires-in: %.3f\r\n" % expires_s
+        length = b"content-length: %d\r\n" % len(self.body) if self.body or self.method != b"GET" else b""
+        return b"".join((self.head, expires, length, b"\r\n", self.body))
 
 
 class AttemptLimits(NamedTuple):
--- a/covetally/net/response_reader.py
+++ b/covetally/net/response_reader.py
@@ -34,6 +34,7 @@
     contains_status_line,
     end_to_end,
     append_part,
+    headers_bytes,
 )
 from covetally.net.outcome import NO_LOAD, Load, Request, Switch
 
@@ -55,20 +56,26 @@
     """Collects the parts of one response and determines its result."""
 
     __slots__ = (
-        "_body", "_head", "_interim_count", "_read_load", "_switch", "ends_with_connection", "head_received",
-        "load",
+        "_body", "_head", "_head_bytes", "_interim_count", "_read_load", "_switch", "ends_with_connection",
+        "head_received", "load",
     )  # fmt: skip
 
     def __init__(self, request: Request, read_load: Callable[[bytes], Load]) -> None:
         self._switch = request.switch
         self._read_load = read_load
         self._head: ResponseHead | None = None  # of a 200 response whose body is awaited
+        self._head_bytes = 0  # the memory that the head takes
         self._body: bytes | bytearray = b""
         self._interim_count = 0
         self.head_received = False  # a final head has been received
         self.ends_with_connection = False  # that of a 200 response without a length
         self.load = NO_LOAD
 
+    @property
+    def held(self) -> int:
+        """The bytes of memory that the response takes so far."""
+        return self._head_bytes + len(self._body)
+
     def add_part(self, part: MessagePart, sent: bool) -> ResponseResult | None:
         """Process the next part and return the result once it is known. `sent` tells whether the last byte of the
         request has been sent. Raises Malformed or Broken if the part is not valid here."""
@@ -109,7 +116,7 @@
             return ResponseResult(AttemptStatus.CANCELLED, HttpResponse(502, []))
         if head.status == STATUS_OK and sent:
             self.ends_with_connection = not check_length(fields)
-            self._head = head
+            self._head, self._head_bytes = head, headers_bytes(head.headers)
             return None
         if head.status in NEVER_RAN_STATUS and (b"x-never-ran", b"1") in head.headers:
             return ResponseResult(AttemptStatus.FULL)
--- a/covetally/net/server.py
+++ b/covetally/net/server.py
@@ -9,6 +9,7 @@
 from covetally.interface import AttemptStatus
 from covetally.net.clock import Clock
 from covetally.net.config import Address
+from covetally.net.memory import MemoryAccount
 from covetally.net.outcome import Load
 from covetally.net.reuse_guard import ReuseGuard
 from covetally.net.server_connection import ServerConnection
@@ -64,6 +65,7 @@
     wheel: TimerWheel
     connect_timeout_s: float
     guard: ReuseGuard
+    memory: MemoryAccount
 
     def take_idle(self, server: Server) -> IdleConnection | None:
         """Take an idle connection out of the pool; None if there is none that may be used soon enough."""
--- a/covetally/net/stream.py
+++ b/covetally/net/stream.py
@@ -254,6 +254,17 @@
         except OSError:
             self._loop.call_later(REGISTER_RETRY_S, self._resume_reading)
 
+    @property
+    def held(self) -> int:
+        """The bytes of memory that the input takes that is not handed on yet: unparsed, or of an incomplete
+        head."""
+        return len(self._unparsed) + self._parser.held
+
+    @property
+    def unsent(self) -> int:
+        """The bytes that the kernel has not taken yet."""
+        return len(self._unsent)
+
     def peek(self) -> bytes:
         """The received bytes that are not parsed yet."""
         return self._unparsed
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -13,6 +13,13 @@
 from covetally.net.clock import Clock
 from covetally.net.config import Address
 from covetally.net.outcome import NO_LOAD, AttemptLimits, Load, Outcome, Request
+from covetally.net.memory import (
+    CONNECTION_BYTES,
+    MemoryAccount,
+    MemoryExhausted,
+    MemoryKind,
+    MemoryReservation,
+)
 from covetally.net.reuse_guard import ReuseGuard
 from covetally.net.server import IdleConnection, Server
 from covetally.net.server_connection import ServerConnection
@@ -32,7 +39,11 @@
 class Upstream:
     """The connection pool. It alone knows which address belongs to a server's name."""
 
-    def __init__(self, settings: Settings, load_fields: frozenset[str], clock: Clock, limit: int) -> None:
+    def __init__(
+        self, settings: Settings, load_fields: frozenset[str], clock: Clock, limit: int, memory: MemoryAccount
+    ) -> None:
+        self.memory = memory
+        self._connection_memory = MemoryReservation(memory)  # of all open connections
         self.loop = asyncio.get_running_loop()
         self._load_fields = load_fields
         self.clock = clock
@@ -102,7 +113,7 @@
         """Close an idle connection."""
         del server.idle[connection]
         connection.close()
-        self._open_count -= 1
+        self.release_connection()
 
     def _on_idle_input(self, server: Server, connection: ServerConnection) -> None:
         """Handle input on an idle connection: its end, or bytes that belong to no request and must not be read as
@@ -183,20 +194,37 @@
         return None
 
     def reserve_connection(self) -> bool:
-        """Reserve one of the limited number of connections; returns False if all are in use. At the limit the
-        connection that has been idle for the longest time is closed."""
-        if self._open_count >= self._limit:
-            servers_with_idle = [server for server in self._servers.values() if server.idle]
-            if not servers_with_idle:
+        """Reserve one of the limited number of connections and its memory; returns False if all are in use. At
+        the limit the connection that has been idle for the longest time is closed."""
+        if self._open_count >= self._limit and not self._drop_oldest_idle():
+            return False
+        while not self._charge_connections(self._open_count + 1):
+            if not self._drop_oldest_idle():
                 return False
-            oldest = min(servers_with_idle, key=lambda server: next(iter(server.idle)).idle_since)
-            self._drop(oldest, next(iter(oldest.idle)))
         self._open_count += 1
         return True
 
+    def _drop_oldest_idle(self) -> bool:
+        """Close the connection that has been idle for the longest time; returns whether there was one."""
+        servers_with_idle = [server for server in self._servers.values() if server.idle]
+        if not servers_with_idle:
+            return False
+        oldest = min(servers_with_idle, key=lambda server: next(iter(server.idle)).idle_since)
+        self._drop(oldest, next(iter(oldest.idle)))
+        return True
+
+    def _charge_connections(self, count: int) -> bool:
+        """Charge the memory of so many connections; returns whether it fits."""
+        try:
+            self._connection_memory.resize(MemoryKind.CONNECTION, count * CONNECTION_BYTES)
+        except MemoryExhausted:
+            return False
+        return True
+
     def release_connection(self) -> None:
         """Release a reserved connection that was closed or not established."""
         self._open_count -= 1
+        self._charge_connections(self._open_count)
 
     def classify_connect_error(self, server: Server, error: int | None) -> AttemptStatus:
         """Return the outcome for a connect that failed at once with this errno.
--- a/covetally/operator/schema.py
+++ b/covetally/operator/schema.py
@@ -112,7 +112,7 @@
         "half of the descriptors", 8, 100_000),
     Key("limits.server_connections", "whole", "the maximum number of connections to nodes",
         "four tenths of the descriptors", 4, 100_000),
-    Key("limits.body_memory_kib", "whole", "the memory for all request bodies that are being received",
+    Key("limits.body_memory_kib", "whole", "the memory for all requests that are being received",
         "an eighth of the memory", 64, 4_194_304),
     Key("limits.max_attempts", "whole",
         "the maximum number of attempts of one request, at most what the platform allows",
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -26,12 +26,14 @@
 from covetally.net.discovery import Discovery
 from covetally.net.frontend import Frontend
 from covetally.net.listener import create_listener
+from covetally.net.memory import MemoryAccount, account_bytes
 from covetally.net.peers import Peers
 from covetally.net.extensions import Claims
 from covetally.net.server_list import ListError, ListUpdate, parse_list
 from covetally.net.sidecar import Sidecar
 from covetally.net.system_errors import RESOURCE_ERRORS
 from covetally.net.upstream import Upstream
+from covetally.net.resident_memory import FreeMemory, resident_bytes
 from covetally.signals import SignalHandlers
 
 if TYPE_CHECKING:
@@ -90,11 +92,14 @@
         self.monitor = LoopMonitor()
         self.clock = clock = Clock()
         settings = config.settings
-        self.upstream = Upstream(settings, config.load_fields, clock, config.server_connections)
+        self._at_rest = resident_bytes()
+        self.memory = MemoryAccount(account_bytes(config.memory, self._at_rest), config.body_memory)
+        self.free_memory = FreeMemory(self.memory)
+        self.upstream = Upstream(settings, config.load_fields, clock, config.server_connections, self.memory)
         self.peers = Peers(config.peers, config.peers_all)
         self.discovery = Discovery(settings, config.discovery)
         self.sidecar = Sidecar(settings, config.seed, clock, self.upstream, self.peers.send, self._subscribe)
-        self.frontend = Frontend(settings, self.sidecar, config.client_connections, config.body_memory)
+        self.frontend = Frontend(settings, self.sidecar, config.client_connections, self.memory)
 
     # --- interface for management (see control/instance.py) -------------------------------------
 
@@ -200,7 +205,7 @@
             self.address = self.frontend.start_accepting(self.member.listener, self.member.shared_ids)
         else:
             self.address = self.frontend.start_accepting(await self._open_listener())
-        self.monitor.on_tick = self.frontend.check_listener
+        self.monitor.on_tick = self._check
         if self.roster is None:
             self.discovery.start()
         if "register.app" in self.values:
@@ -208,9 +213,21 @@
 
             self.registrar = Registrar(self.values, config, self.address)
             self.registrar.start()
+        self._at_rest = resident_bytes()
+        self._resize_memory()
         gc.freeze()  # objects created at start live as long as the process: keep the collector from scanning them
         log.info("%s ready at %s:%d", config.name, *self.address)
 
+    def _check(self) -> None:
+        """Called several times a second."""
+        self.frontend.check_listener()
+        self.free_memory.check()
+
+    def _resize_memory(self) -> None:
+        """Let peers take what the limit leaves beside the memory at rest."""
+        config = self.config
+        self.memory.resize(account_bytes(config.memory, self._at_rest), config.body_memory)
+
     async def _open_listener(self) -> socket.socket:
         """Return the listening socket. Raises ConfigError if it cannot be opened.
 
@@ -370,6 +387,7 @@
         if self.manager is not None:
             await self.manager.stop()
         closed = ", ".join(f"{reason.value} {count}" for reason, count in self.frontend.closed.items())
+        log.info("%s: memory for peers: %s", self.config.name, self.memory.describe())
         violations = self.sidecar.violations.total
         log.info("%s ends: connections closed: %s; %d violations", self.config.name, closed or "none", violations)
 
@@ -400,7 +418,8 @@
         self.sidecar.reconfigure(config.settings)
         self.sidecar.tracing = log.isEnabledFor(logging.DEBUG)
         self.upstream.reconfigure(config.settings, config.server_connections)
-        self.frontend.retune(config.settings, config.client_connections, config.body_memory)
+        self.frontend.retune(config.settings, config.client_connections)
+        self._resize_memory()
         self._update_list_source()
 
 
--- a/covetally/rig/memory_pressure.py
+++ b/covetally/rig/memory_pressure.py
@@ -7,113 +7,24 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
 import signal
-import time
-from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
-from covetally.rig.usual_clients import Address, UsualReport, read_status, send_usual, usual_request
+from covetally.rig.child import Child, Row
+from covetally.rig.memory_clients import KINDS, ClientsSpec
+from covetally.rig.usual_clients import Address, UsualReport, send_usual
 from covetally.rig.world import InstanceProcess, Shape, World
 
 USUAL_CLIENTS = 6
+CLIENT_PROCESSES = 3
 OWED_WITHIN_S = 3.0  # from connecting, a client that stops is owed an error or a close
-PATIENCE_S = 2 * OWED_WITHIN_S  # of such a client
 QUIET_S = 1.0  # before the first burst, in which the memory at rest is measured
 SAMPLE_S = 0.02
 GIVEN_BACK_AFTER_S = 10.0  # from the end of the last burst
 GIVEN_BACK_MB = 4.0  # the most that may be held by then beyond the memory at rest
-REFUSED_PAUSE_S = 0.05  # after a connect that was refused
-PIECE_S = 0.002  # between the pieces of a request
-MANY = 15_000  # bytes of header fields
-LONG_FIELD = 1_000  # bytes
-PIECE = 1_500  # bytes
-BODY, BODY_SENT = 65_000, 60_000  # bytes, of a body that stays incomplete
 
-Pieces = Iterator[bytes]
-
-
-def _post(name: str, length: int) -> bytes:
-    return (
-        f"POST /api?sid=5f3a HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: {name}\r\nX-Qos: calib-update\r\n"
-        f"X-Customer: officina-verona\r\nX-Expires-In: 1.500\r\nContent-Length: {length}\r\n"
-    ).encode()
-
-
-def _short_fields(names: tuple[bytes, ...]) -> bytes:
-    lines, size = [], 0
-    for name in itertools.cycle(names):
-        lines.append(name + b":" + name + b"\r\n")
-        size += len(lines[-1])
-        if size >= MANY:
-            return b"".join(lines)
-    raise AssertionError
-
-
-def _many_fields(name: str) -> Pieces:
-    yield _post(name, 10) + _short_fields((b"a",))
-
-
-def _varied_fields(name: str) -> Pieces:
-    yield _post(name, 10) + _short_fields((b"a", b"bb", b"ccc"))
-
-
-def _fields_in_pieces(name: str) -> Pieces:
-    head = _post(name, 10) + _short_fields((b"a", b"bb", b"ccc"))
-    for at in range(0, len(head), PIECE):
-        yield head[at : at + PIECE]
-
-
-def _long_fields(name: str) -> Pieces:
-    fields = (b"x-%d: " % number + b"v" * LONG_FIELD + b"\r\n" for number in range(MANY // LONG_FIELD - 1))
-    yield _post(name, 10) + b"".join(fields)
-
-
-def _large_body(name: str) -> Pieces:
-    yield _post(name, BODY) + b"\r\n" + b"x" * BODY_SENT
-
-
-def _large_body_in_pieces(name: str) -> Pieces:
-    yield _post(name, BODY) + b"\r\n"
-    for _ in range(0, BODY_SENT, PIECE):
-        yield b"x" * PIECE
-
-
-def _small_body(name: str) -> Pieces:
-    yield _post(name, BODY) + b"\r\n" + b"x" * 4_000
-
-
-def _whole_head(name: str) -> Pieces:
-    yield usual_request(name, {f"x-{number:x}": "v" for number in range(1_500)})
-
-
-def _whole_long_head(name: str) -> Pieces:
-    yield usual_request(name, {f"x-{number}": "v" * LONG_FIELD for number in range(MANY // LONG_FIELD - 1)})
-
-
-def _whole_body(name: str) -> Pieces:
-    yield _post(name, BODY_SENT) + b"\r\n" + b"x" * BODY_SENT
-
-
-def _pipeline(name: str) -> Pieces:
-    yield b"".join(usual_request(f"{name}-{number}") for number in range(400))
-
-
-KINDS: dict[str, Callable[[str], Pieces]] = {
-    "many_fields": _many_fields,
-    "varied_fields": _varied_fields,
-    "fields_in_pieces": _fields_in_pieces,
-    "long_fields": _long_fields,
-    "large_body": _large_body,
-    "large_body_in_pieces": _large_body_in_pieces,
-    "small_body": _small_body,
-    "whole_head": _whole_head,
-    "whole_long_head": _whole_long_head,
-    "whole_body": _whole_body,
-    "pipeline": _pipeline,
-}
 EVENTS = ("none", "reload", "terminate")
 
 
@@ -219,50 +130,6 @@
             await asyncio.sleep(SAMPLE_S)
 
 
-async def _hold(
-    address: Address, pieces: Callable[[str], Pieces], name: str, report: PressureReport, until: float
-) -> None:
-    """Connect and send one request after the other, as long as they are served; those that stay incomplete wait
-    for an error or a close."""
-    started_at = time.monotonic()
-    try:
-        reader, writer = await asyncio.open_connection(*address)
-    except OSError:  # the backlog is full, or the sidecar has ended
-        await asyncio.sleep(REFUSED_PAUSE_S)
-        return
-    served = True
-    try:
-        async with asyncio.timeout_at(asyncio.get_running_loop().time() + PATIENCE_S) as timeout:
-            for turn in itertools.count():
-                for piece in pieces(f"{name}-{turn}"):
-                    writer.write(piece)
-                    await writer.drain()
-                    await asyncio.sleep(PIECE_S)
-                status, kept = await read_status(reader)
-                served = status == 200
-                if not (served and kept) or time.monotonic() >= until:
-                    break
-                timeout.reschedule(asyncio.get_running_loop().time() + PATIENCE_S)
-                started_at = time.monotonic()
-    except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
-        served = False
-    finally:
-        writer.close()
-        if not served:
-            report.waits_s.append(time.monotonic() - started_at)
-
-
-async def _press(address: Address, number: int, plan: PressurePlan, burst: int, report: PressureReport) -> None:
-    """Be one client of a burst: come again as soon as a connection has ended."""
-    await asyncio.sleep(plan.step_s * number)
-    until = time.monotonic() + plan.burst_s - min(plan.step_s * number, plan.burst_s)
-    pieces = KINDS[plan.kinds[number % len(plan.kinds)]]
-    for turn in itertools.count():
-        await _hold(address, pieces, f"held{burst}-{number}-{turn}", report, until)
-        if time.monotonic() >= until:
-            return
-
-
 async def _signal_halfway(plan: PressurePlan, instance: InstanceProcess) -> None:
     await asyncio.sleep(plan.burst_s / 2)
     if plan.event == "none" or not instance.running:
@@ -271,13 +138,33 @@
     instance.process.send_signal(signal.SIGHUP if plan.event == "reload" else signal.SIGTERM)
 
 
-async def _play_burst(plan: PressurePlan, burst: int, instance: InstanceProcess, report: PressureReport) -> None:
-    work: list[Awaitable[None]] = [
-        _press(instance.address, number, plan, burst, report) for number in range(plan.clients)
-    ]
-    if burst == plan.bursts - 1:
-        work.append(_signal_halfway(plan, instance))
-    await asyncio.gather(*work)
+class _PressingClients:
+    """The processes of clients that make the sidecar hold memory."""
+
+    def __init__(self, plan: PressurePlan, address: Address, report: PressureReport) -> None:
+        self._report = report
+        self._done = asyncio.Queue[Row]()
+        self._children = []
+        for first in range(CLIENT_PROCESSES):
+            numbers = tuple(range(first, plan.clients, CLIENT_PROCESSES))
+            spec = ClientsSpec(address, plan.kinds, numbers, plan.step_s, plan.burst_s)
+            self._children.append(Child("covetally.rig.memory_clients", asdict(spec), self._done.put_nowait))
+
+    async def start(self) -> None:
+        """Start the processes; nothing connects yet."""
+        await asyncio.gather(*(child.start() for child in self._children))
+
+    async def play_burst(self, burst: int) -> None:
+        """Let all clients connect, and return once they have gone."""
+        for child in self._children:
+            child.command(burst=burst)
+        for _ in self._children:
+            row = await self._done.get()
+            self._report.waits_s += row[2]
+
+    async def stop(self) -> None:
+        """End the processes."""
+        await asyncio.gather(*(child.kill() for child in self._children))
 
 
 async def play(plan: PressurePlan) -> PressureReport:
@@ -289,6 +176,8 @@
         instance = world.instances["a0"]
         assert instance.process is not None
         sampler = MemorySampler(instance.process.pid)
+        clients = _PressingClients(plan, instance.address, report)
+        await clients.start()
         ends = plan.event == "terminate"
         usual_s = QUIET_S + plan.length_s
         usual = [
@@ -300,10 +189,15 @@
         sampling = asyncio.create_task(sampler.run())
         for burst in range(plan.bursts):
             sampler.peak_mb = 0.0
-            await _play_burst(plan, burst, instance, report)
+            last = burst == plan.bursts - 1
+            signalling = asyncio.create_task(_signal_halfway(plan, instance)) if last else None
+            await clients.play_burst(burst)
+            if signalling is not None:
+                await signalling
             report.peaks_mb.append(sampler.peak_mb)
             report.largest_resident_mb = max(report.largest_resident_mb, sampler.largest_resident_mb())
-            await asyncio.sleep(QUIET_S if burst < plan.bursts - 1 else 0.0)
+            await asyncio.sleep(0.0 if last else QUIET_S)
+        await clients.stop()
         await asyncio.gather(*usual)
         sampling.cancel()
         if not ends:
--- a/covetally/workers/member.py
+++ b/covetally/workers/member.py
@@ -58,6 +58,7 @@
             seed=whole.seed + slot,
             client_connections=share_of(whole.client_connections, slot, count),
             server_connections=share_of(whole.server_connections, slot, count),
+            memory=share_of(whole.memory, slot, count),
             body_memory=share_of(whole.body_memory, slot, count),
             peer_listen=whole.peer_listen if self.is_first else None,
             settings=replace(whole.settings, budget_share=1.0 / count),
--- a/tests/incidents/test_memory_limit.py
+++ b/tests/incidents/test_memory_limit.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from covetally.rig.memory_pressure import KINDS, PressurePlan, play
+from covetally.rig.memory_clients import KINDS
+from covetally.rig.memory_pressure import PressurePlan, play
 
 PLAY_TIMEOUT_S = 60.0
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,6 +14,7 @@
 from covetally.net.close_reason import CloseReason
 from covetally.net.frontend import Frontend
 from covetally.net.listener import create_listener
+from covetally.net.memory import MemoryAccount
 from covetally.net.sidecar import Sidecar
 from covetally.net.upstream import Upstream
 from tests.support import settings
@@ -147,9 +148,10 @@
     """Run a sidecar with a server for each script; the servers are named s0, s1, ..."""
     config = settings(**changes, **(more or {}))
     clock = Clock()
-    upstream = Upstream(config, frozenset(), clock, sockets)
+    memory = MemoryAccount(8 * 1024 * 1024, 4 * 1024 * 1024)
+    upstream = Upstream(config, frozenset(), clock, sockets, memory)
     sidecar = Sidecar(config, 1, clock, upstream, lambda peer, blob: None, lambda: None)
-    frontend = Frontend(config, sidecar, clients, 4 * 1024 * 1024)
+    frontend = Frontend(config, sidecar, clients, memory)
     harness = SidecarHarness(sidecar, frontend, upstream)
     harness.servers = {f"s{i}": ScriptedServer(script) for i, script in enumerate(scripts)}
     for server in harness.servers.values():
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,6 +11,7 @@
 from covetally.net import client_connection
 from covetally.net.eviction import FIRST_REQUEST_GRACE_S
 from covetally.net.http_message import MAX_FIELDS
+from covetally.net.memory import MemoryKind
 from covetally.net.recent_ids import RecentIds
 from tests.loopback import respond_ok, sidecar_harness, read_message, request, trace_ids, wait_until
 
@@ -111,7 +112,8 @@
             )
             chunk = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
             assert await harness.status(head + 3 * chunk) == 413
-            assert harness.frontend.budget.free == 4 * 1024 * 1024, "its memory is released"
+            await wait_until(lambda: not harness.frontend._clients)
+            assert harness.frontend.memory.used == 0, "its memory is released"
 
     asyncio.run(main())
 
@@ -119,13 +121,15 @@
 def test_bodies_beyond_the_memory_budget_are_rejected_at_once():
     async def main():
         async with sidecar_harness(respond_ok) as harness:
-            harness.frontend.budget.free = 50_000
+            memory = harness.frontend.memory
+            memory.resize(800_000, 60_000)
             _, holder = await harness.connect()
-            holder.write(request("h", cls="pay", body=b"x" * 40_000, length="41000"))
-            await wait_until(lambda: harness.frontend.budget.free < 20_000)
-            assert await harness.status(request("w", cls="pay", body=b"x" * 40_000)) == 503
+            holder.write(request("h", cls="pay", body=b"x" * 30_000, length="31000"))
+            await wait_until(lambda: memory.held[MemoryKind.INCOMPLETE] > 30_000)
+            assert await harness.status(request("w", cls="pay", body=b"x" * 45_000, length="46000")) == 503
             holder.close()
-            await wait_until(lambda: harness.frontend.budget.free == 50_000)
+            await wait_until(lambda: not harness.frontend._clients)
+            assert memory.held[MemoryKind.INCOMPLETE] == 0
             assert await harness.status(request("v", cls="pay", body=b"x" * 40_000)) == 200
 
     asyncio.run(main())
