Remember ids of requests that may have run for a minute

What callers saw: an unsafe or keyed id that came again 4 s after its client had left ran a second time.

Cause: ids were forgotten after the longest deadline to twice that, counted from when they were taken. That covers requests that are in progress; it says nothing of one that may have run.

Change: Sidecar reports each request that may have run by the connection's own count, unless its class is free to be repeated or the server said that it never ran; RecentIds remembers those for 60 to 120 s and answers 409. Only hashes are kept, in the account of memory (an eighth of it at most); if they do not fit, the oldest go first, which counts as a refusal. A call keeps its own trace id: that of its connection may be the next request's by the time an attempt ends.

After a restart, at another sidecar and in another worker nothing is known of them.

--- a/covetally/net/client_connection.py
+++ b/covetally/net/client_connection.py
@@ -377,7 +377,7 @@
         self.memory.resize(MemoryKind.REQUEST, size)
         if request_info is not None:
             if not manager.claim(self.trace_id):
-                raise Rejected(409, "X-Trace-Id is in use by another request")
+                raise Rejected(409, "X-Trace-Id is that of another recent request")
             self._id_claimed = True
         head, self._head = self._head, b""
         body, self._body = self._body, b""
--- a/covetally/net/frontend.py
+++ b/covetally/net/frontend.py
@@ -61,7 +61,8 @@
         self._eviction = EvictionOrder()
         self.on_busy = self._eviction.discard  # see `ConnectionManager.on_busy`
         self.on_partial_request = self._eviction.on_part  # see `ConnectionManager.on_partial_request`
-        self._ids = RecentIds(max(c.deadline_ns for c in settings.classes) / SECOND)
+        self._ids = RecentIds(self._longest_deadline_s, memory)
+        sidecar.on_may_have_run = self.remember
         self._listener: Listener
         self._claims: Claims | None = None
         self._no_clients = asyncio.Event()
@@ -259,6 +260,10 @@
             return False
         return self._claims is None or self._claims.claim(trace_id)
 
+    def remember(self, trace_id: bytes) -> None:
+        """Called when the request with this id may have run, and must not run again."""
+        self._ids.remember(trace_id, asyncio.get_running_loop().time())
+
     def release(self, trace_id: bytes) -> None:
         """Called when the request with this id has finished."""
         if self._claims is not None:
--- a/covetally/net/memory.py
+++ b/covetally/net/memory.py
@@ -12,6 +12,7 @@
     REQUEST      accepted requests, with the copy that is being sent          REQUEST_SHARE
     RESPONSE     responses that are being received                            the whole account
     UNSENT       responses that clients have not taken yet                    the whole account
+    IDS          ids of recent requests                                       IDS_SHARE
 
 A holder of at most SMALL_BYTES may always use the whole account, so that large requests do not keep usual ones
 out.
@@ -33,6 +34,7 @@
 SMALL_BYTES = CONNECTION_BYTES + 8 * 1024
 INCOMPLETE_SHARE = 0.5
 REQUEST_SHARE = 0.75
+IDS_SHARE = 0.125
 # Of the memory that the process does not need at rest. The remainder is for copies of the message at hand, and
 # for memory that is free but in pieces.
 ACCOUNT_SHARE = 0.6
@@ -48,6 +50,7 @@
     REQUEST = "requests"
     RESPONSE = "responses"
     UNSENT = "unsent_responses"
+    IDS = "recent_ids"
 
 
 class MemoryExhausted(Exception):
@@ -81,6 +84,7 @@
         self._limits = {
             MemoryKind.INCOMPLETE: min(incomplete_limit, int(size * INCOMPLETE_SHARE)),
             MemoryKind.REQUEST: int(size * REQUEST_SHARE),
+            MemoryKind.IDS: int(size * IDS_SHARE),
         }
 
     @property
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -84,10 +84,6 @@
     @property
     def request(self) -> Request: ...
 
-    @property
-    def trace_id(self) -> bytes:
-        """The id that the client gave the request."""
-
     def client_connected(self) -> bool:
         """Return whether the client is still connected. If it has left, the request is cancelled."""
 
@@ -102,6 +98,7 @@
     exchange: Exchange
     cls: int
     deadline_ns: int
+    trace_id: bytes  # that the client gave the request
     attempts: dict[int, Attempt] = field(default_factory=dict)
     sent: int = 0  # the number of attempts so far
     ran_at_ns: int = 0  # when the first attempt that may have run was started; 0: none
@@ -135,6 +132,8 @@
         self.observer: RequestObserver | None = None
         # Called with the class and the final answer of each request; None: the client has left.
         self.on_completed: Callable[[int, HttpResponse | None], None] | None = None
+        # Called with the id of each request that may have run and is not free to be repeated.
+        self.on_may_have_run: Callable[[bytes], None] | None = None
         self.violations = Violations()
         self._classes = settings.classes
         self.tracing = False  # log each attempt and each answer at DEBUG
@@ -189,7 +188,7 @@
         now = self._clock.now()
         if self._shutdown_ns:
             ttl_ns = max(min(ttl_ns, self._shutdown_ns - now), 1)
-        self._calls[tid] = _Call(exchange, cls, now + ttl_ns)
+        self._calls[tid] = _Call(exchange, cls, now + ttl_ns, name)
         if self._sweep is None:
             self._schedule_sweep()
         priority = 0.0
@@ -333,7 +332,7 @@
     def _client_id(self, tid: str) -> str:
         """Return the id that the client gave a request."""
         call = self._calls.get(tid)
-        return call.exchange.trace_id.decode("latin-1") if call is not None else tid
+        return call.trace_id.decode("latin-1") if call is not None else tid
 
     def _attempt_ended(self, action: Submit, call: _Call, number: int, sent_ns: int, outcome: Outcome) -> None:
         """Report the outcome of an attempt to the balancer, and answer the client if the outcome settles the
@@ -360,6 +359,8 @@
                 response.switched.sock.close()  # the client has left
         elif not call.ran_at_ns and outcome.status not in NOT_EXECUTED:
             call.ran_at_ns = sent_ns
+        if outcome.status is not AttemptStatus.FULL and attempt.may_have_run():
+            self._report_may_have_run(call)
         if self.on_outcome is not None:
             self.on_outcome(action.server, outcome.status)
         if self.on_attempt is not None:
@@ -376,6 +377,12 @@
         self._handle(event, now)
         self._remove_if_done(tid, call)
 
+    def _report_may_have_run(self, call: _Call) -> None:
+        """Report a request that may have run, unless its class is known to be free to be repeated."""
+        known = 0 <= call.cls < len(self._classes)
+        if self.on_may_have_run is not None and not (known and self._classes[call.cls].repeat == "free"):
+            self.on_may_have_run(call.trace_id)
+
     def _finish(self, tid: str, response: HttpResponse) -> None:
         call = self._calls.get(tid)
         if call is None or call.over:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,8 +11,8 @@
 from covetally.net import client_connection
 from covetally.net.eviction import FIRST_REQUEST_GRACE_S
 from covetally.net.http_message import MAX_FIELDS
-from covetally.net.memory import MemoryKind
-from covetally.net.recent_ids import RecentIds
+from covetally.net.memory import MemoryAccount, MemoryKind
+from covetally.net.recent_ids import ID_BYTES, MAY_HAVE_RUN_S, RecentIds
 from tests.loopback import respond_ok, sidecar_harness, read_message, request, trace_ids, wait_until
 
 HIDDEN = request("hidden")
@@ -198,11 +198,62 @@
 
 
 def test_recent_ids_are_forgotten_after_a_while():
-    ids = RecentIds(1.0)
+    memory = MemoryAccount(1024 * 1024, 1024 * 1024)
+    ids = RecentIds(1.0, memory)
     for now in range(10):
         assert all(ids.claim(b"%d/%d" % (now, i), float(now)) for i in range(50))
         assert not ids.claim(b"%d/7" % now, now + 0.5)
-    assert len(ids._new | ids._old) <= 100
+    assert memory.held[MemoryKind.IDS] <= 100 * ID_BYTES
+
+
+def test_the_id_of_a_request_that_may_have_run_is_remembered_long_after_its_deadline():
+    ids = RecentIds(1.0, MemoryAccount(1024 * 1024, 1024 * 1024))
+    assert ids.claim(b"ran", 0.0) and ids.claim(b"refused", 0.0)
+    ids.remember(b"ran", 1.0)
+    for now in range(2, int(MAY_HAVE_RUN_S)):
+        assert not ids.claim(b"ran", float(now))
+    assert ids.claim(b"refused", 50.0)
+    assert ids.claim(b"ran", 3 * MAY_HAVE_RUN_S)
+
+
+def test_the_oldest_ids_are_forgotten_when_there_is_no_memory_for_more():
+    memory = MemoryAccount(400 * ID_BYTES * 8, 0)
+
+    async def main():
+        ids = RecentIds(1.0, memory)
+        for number in range(2_000):
+            now = number / 100
+            assert ids.claim(b"%d" % number, now)
+            ids.remember(b"%d" % number, now)
+            assert not ids.claim(b"%d" % max(0, number - 50), now)
+            assert memory.held[MemoryKind.IDS] <= 400 * ID_BYTES
+        assert memory.refusals[MemoryKind.IDS] > 0
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("cls, runs", [("pay", 1), ("zoned", 1), ("look", 2)])
+def test_an_id_that_comes_again_after_its_client_has_left_does_not_run_again(cls, runs):
+    """The id of a request that may have run was forgotten after twice the longest deadline."""
+    more = "Idempotency-Key: k\r\n" if cls == "zoned" else ""
+
+    async def hang(server, received, reader, writer):
+        await reader.read()
+
+    async def main():
+        async with sidecar_harness(hang) as harness:
+            server = harness.servers["s0"]
+            _, writer = await harness.connect()
+            writer.write(request("again", cls=cls, more=more))
+            await wait_until(lambda: len(server.requests) == 1)
+            writer.close()
+            await wait_until(lambda: not harness.frontend._clients)
+            await asyncio.sleep(2.2)  # the longest deadline is 1 s
+            server.script = respond_ok
+            status = await harness.status(request("again", cls=cls, more=more))
+            assert (status, len(server.requests)) == ((409, 1) if runs == 1 else (200, 2))
+
+    asyncio.run(main())
 
 
 def test_many_silent_connections_do_not_lock_out_other_clients():
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -173,7 +173,7 @@
             assert await harness.status(request("a", cls="pay")) == 502
             await wait_until(lambda: not harness.frontend._clients)
             assert harness.frontend.memory.refusals[MemoryKind.RESPONSE] == 1
-            assert harness.frontend.memory.used == 0
+            assert harness.frontend.memory.used == harness.frontend.memory.held[MemoryKind.IDS]
             harness.frontend.memory.resize(SIZE, SIZE)
             assert await harness.status(request("b", cls="pay")) == 200
 
