Keep a long session key as its hash

What callers may see: memory that grows by what one client sends under ever new names.

Cause: the balancer keeps up to 4,096 keys for key affinity and 512 signatures of unserved requests, each with the key as it was sent, up to a head of 16 kB: some 60 MB, outside of any account.

Change: a key of over 64 characters is replaced by its BLAKE2 hash, so it still selects the same servers everywhere.

The test fails without the change (14,001 characters).

--- a/covetally/net/request_validation.py
+++ b/covetally/net/request_validation.py
@@ -4,6 +4,7 @@
 
 import re
 from collections import Counter
+from hashlib import blake2b
 from urllib.parse import parse_qs
 
 from covetally.interface import SECOND, Settings
@@ -11,6 +12,7 @@
 from covetally.net.sidecar import RequestInfo
 
 READY_PATH = b"/_health"
+MAX_KEY_LENGTH = 64  # characters
 MAX_COST_NS = 60 * SECOND  # larger size hints of clients are cut to this
 SIMPLE_GET = re.compile(  # one complete request without a body or connection options, in lower case
     rb"get /(?!_health)[!-~]* http/1\.1\r\n"
@@ -35,7 +37,15 @@
 
 
 def _session_key(target: bytes) -> str:
-    """The key of the request: the query parameter `sid`, empty if there is none."""
+    """The key of the request: the query parameter `sid`, empty if there is none. A long one is replaced by its
+    hash: the balancer keeps thousands of keys."""
+    key = _sid_parameter(target)
+    if len(key) <= MAX_KEY_LENGTH:
+        return key
+    return blake2b(key.encode("utf-8", "replace"), digest_size=16).hexdigest()
+
+
+def _sid_parameter(target: bytes) -> str:
     query = target.partition(b"?")[2]
     if query.startswith(b"sid=") and query[4:].isalnum():
         return query[4:].decode("ascii")  # the usual case: one field without escapes
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,6 +12,7 @@
 from covetally.net.eviction import FIRST_REQUEST_GRACE_S
 from covetally.net.http_message import MAX_FIELDS
 from covetally.net.memory import MemoryAccount, MemoryKind
+from covetally.net.request_validation import MAX_KEY_LENGTH
 from covetally.net.recent_ids import ID_BYTES, MAY_HAVE_RUN_S, RecentIds
 from tests.loopback import respond_ok, sidecar_harness, read_message, request, trace_ids, wait_until
 
@@ -256,6 +257,21 @@
     asyncio.run(main())
 
 
+def test_long_keys_are_kept_as_their_hashes():
+    """The balancer keeps thousands of keys: those of 14 kB took some 60 MB."""
+
+    async def main():
+        async with sidecar_harness(respond_ok, more={"familyInfo": {"warmKeys": True}}) as harness:
+            for key in ("short", "k" * 14_000, "k" * 14_000 + "1", "%41" * 100):
+                data = request(f"t{len(key)}").replace(b"sid=k ", b"sid=%s " % key.encode())
+                assert await harness.status(data) == 200
+            keys = list(harness.balancer.state.key_counts)
+            assert len(keys) == 4 and keys[0] == "short"
+            assert max(map(len, keys)) <= MAX_KEY_LENGTH
+
+    asyncio.run(main())
+
+
 def test_many_silent_connections_do_not_lock_out_other_clients():
     async def main():
         async with sidecar_harness(respond_ok, clients=5) as harness:
