Charge server lists that are being received to the account of memory

What callers may see: a process over its limit when discovery, or what answers in its place, sends a list without end.

Cause: up to 8 MB of a list were read whatever the limit.

The test fails without the charge (8 MB are read).

--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -27,6 +27,7 @@
 from covetally.net.config import Address
 from covetally.net.discovery_call import DiscoveryCall
 from covetally.net.http_message import Malformed
+from covetally.net.memory import MemoryAccount
 from covetally.net.server_list import (
     ListError,
     ListUpdate,
@@ -64,7 +65,8 @@
 class Discovery:
     """Watches the server list. The last known list stays in use while discovery is down."""
 
-    def __init__(self, settings: Settings, address: Address) -> None:
+    def __init__(self, settings: Settings, address: Address, memory: MemoryAccount) -> None:
+        self._memory = memory
         self._pushed = not settings.must_subscribe
         self._settings = settings
         self._grace_s = settings.invariants.drain_grace_ns / 1e9
@@ -135,7 +137,7 @@
         self._end_pause()
         timing = discovery_schedule.next_call(self._pushed, self._index is not None, self._failing, self._grace_s)
         target = PATH if timing.wait_ms < 0 else f"{PATH}?index={self._index}&wait={timing.wait_ms}"
-        call = DiscoveryCall(self._address, target, self._take_connection())
+        call = DiscoveryCall(self._address, target, self._take_connection(), self._memory)
         task = loop.create_task(call.run())
         timer = loop.call_later(timing.timeout_s, self._time_out)
         self._newest = open_call = _OpenCall(call, timing, loop.time(), task, timer)
--- a/covetally/net/memory.py
+++ b/covetally/net/memory.py
@@ -13,6 +13,7 @@
     RESPONSE     responses that are being received                            the whole account
     UNSENT       responses that clients have not taken yet                    the whole account
     IDS          ids of recent requests                                       IDS_SHARE
+    LIST         server lists that are being received and parsed              the whole account
 
 A holder of at most SMALL_BYTES may always use the whole account, so that large requests do not keep usual ones
 out.
@@ -51,6 +52,7 @@
     RESPONSE = "responses"
     UNSENT = "unsent_responses"
     IDS = "recent_ids"
+    LIST = "server_lists"
 
 
 class MemoryExhausted(Exception):
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -97,7 +97,7 @@
         self.free_memory = FreeMemory(self.memory)
         self.upstream = Upstream(settings, config.load_fields, clock, config.server_connections, self.memory)
         self.peers = Peers(config.peers, config.peers_all)
-        self.discovery = Discovery(settings, config.discovery)
+        self.discovery = Discovery(settings, config.discovery, self.memory)
         self.sidecar = Sidecar(settings, config.seed, clock, self.upstream, self.peers.send, self._subscribe)
         self.frontend = Frontend(settings, self.sidecar, config.client_connections, self.memory)
 
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -80,7 +80,7 @@
             server = ScriptedServer(discover)
             await server.start()
             updates: list[tuple[float, ListUpdate]] = []
-            discovery = Discovery(here.sidecar._balancer.state.settings, server.address)
+            discovery = Discovery(here.sidecar._balancer.state.settings, server.address, here.frontend.memory)
             discovery.on_update = lambda update: (
                 updates.append((time.monotonic(), update)),
                 here.sidecar.update_servers(
@@ -139,7 +139,7 @@
         async with sidecar_harness() as here:
             server = ScriptedServer(discover)
             await server.start()
-            discovery = Discovery(here.sidecar._balancer.state.settings, server.address)
+            discovery = Discovery(here.sidecar._balancer.state.settings, server.address, here.frontend.memory)
             discovery.on_update = lambda update: seen.extend(
                 (update.generation, entry.lifecycle) for entry, _ in update.entries if entry.server == "s1"
             )
@@ -183,7 +183,7 @@
             server = ScriptedServer(discover)
             await server.start()
             updates: list[float] = []
-            discovery = Discovery(here.sidecar._balancer.state.settings, server.address)
+            discovery = Discovery(here.sidecar._balancer.state.settings, server.address, here.frontend.memory)
             discovery.on_update = lambda update: updates.append(time.monotonic())
             discovery.on_failure = lambda: None
             discovery.start()
@@ -222,7 +222,7 @@
             server = ScriptedServer(discover)
             await server.start()
             updates: list[ListUpdate] = []
-            discovery = Discovery(here.sidecar._balancer.state.settings, server.address)
+            discovery = Discovery(here.sidecar._balancer.state.settings, server.address, here.frontend.memory)
             discovery.on_update = updates.append
             discovery.start()
             await wait_until(lambda: updates)
@@ -249,7 +249,7 @@
         async with sidecar_harness() as here:
             server = ScriptedServer(discover)
             await server.start()
-            discovery = Discovery(here.sidecar._balancer.state.settings, server.address)
+            discovery = Discovery(here.sidecar._balancer.state.settings, server.address, here.frontend.memory)
             discovery.on_update = updates.append
             discovery.on_failure = lambda: None
             discovery.start()
@@ -277,7 +277,7 @@
         async with sidecar_harness() as here:
             server = ScriptedServer(discover)
             await server.start()
-            discovery = Discovery(here.sidecar._balancer.state.settings, server.address)
+            discovery = Discovery(here.sidecar._balancer.state.settings, server.address, here.frontend.memory)
             discovery.on_update = lambda update: states.extend(
                 entry.lifecycle for entry, _ in update.entries if entry.server == "s1"
             )
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import gc
+import itertools
 import socket
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from covetally.net.discovery import Discovery
 from covetally.net.memory import (
     CONNECTION_BYTES,
     MIN_ACCOUNT_BYTES,
@@ -21,7 +23,15 @@
     account_bytes,
 )
 from covetally.net.resident_memory import GIVE_BACK_BYTES, FreeMemory, resident_bytes
-from tests.loopback import read_message, request, respond_ok, response, sidecar_harness, wait_until
+from tests.loopback import (
+    ScriptedServer,
+    read_message,
+    request,
+    respond_ok,
+    response,
+    sidecar_harness,
+    wait_until,
+)
 
 KIB = 1024
 MIB = 1024 * 1024
@@ -207,6 +217,40 @@
     asyncio.run(main())
 
 
+def test_a_server_list_without_end_takes_no_more_than_the_account():
+    """Up to 8 MB of a list were read whatever the limit, which take some 50 MB when they are parsed."""
+    entry = b'{"instanceId":"s%d","hostPort":"10.0.0.1:80","zone":"a","lifecycle":"active","weight":1.0},'
+    sane = b'{"generation":5,"reset":true,"instances":[' + entry[:-1] % 1 + b"]}"
+
+    async def endless(server, received, reader, writer):
+        if len(server.requests) > 1:
+            writer.write(response(sane) if len(server.requests) == 2 else b"")
+            return
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n{"generation":5,"reset":true,"instances":[')
+        for number in itertools.count():
+            writer.write(b"".join(entry % (100 * number + each) for each in range(100)))
+            await writer.drain()
+
+    async def main():
+        async with sidecar_harness(respond_ok) as harness:
+            memory = harness.frontend.memory
+            memory.resize(SIZE, SIZE)
+            server = ScriptedServer(endless)
+            await server.start()
+            discovery = Discovery(harness.balancer.state.settings, server.address, memory)
+            updates = []
+            discovery.on_update, discovery.on_failure = updates.append, lambda: None
+            discovery.start()
+            await wait_until(lambda: any(update.full for update in updates))
+            assert memory.refusals[MemoryKind.LIST] == 1 and SIZE / 2 < memory.peak <= SIZE
+            assert await harness.status(request("usual")) == 200
+            discovery.stop()
+            assert memory.held[MemoryKind.LIST] == 0
+            server.stop()
+
+    asyncio.run(main())
+
+
 def test_connections_wait_in_the_backlog_while_there_is_no_memory_for_them():
     release = asyncio.Event()
 
