Do not take a new process at an address for the server on the list

What callers saw: with the list told 4 s after a server had died and another one, of another cell, had come up at its address, keyed requests ran in two cells.

Cause: a server was known by name and address until the list changed. The ends of its connections say that its process has died, and what is connected afterwards has not proved who it is; the policy counted it to the old server's cell all the same, as the place of a repeat, and as the place where a first attempt may have run.

Change: when the last connection to a server was ended by it, or a connect was refused, connections made from then on are not confirmed, until the list names a new process or 10 s have passed (a change is told within 6 s of when discovery had it). An attempt reports that (AttemptEnded.unconfirmed): a keyed request that such a one may have executed is not sent again within a group. The policy asks for confirmed servers only (Submit.confirmed_only) where it repeats within a group. Everything else goes on there as before.

What cannot be known: a process that is replaced while no connection to it is open shows no sign.

--- a/covetally/interface/__init__.py
+++ b/covetally/interface/__init__.py
@@ -291,7 +291,8 @@
 
     `load` is the server's load report, empty if none came. `latency_ns` is the time of the server and the
     network, `local_ns` the time that passed in this process on top of it. `closed` says that the request has been
-    answered or its client has left.
+    answered or its client has left. `unconfirmed` says that another server than the one on the list may have got
+    it: a new one at the same address.
     """
 
     tid: str
@@ -302,6 +303,7 @@
     closed: bool
     load: Mapping[str, float] = {}
     local_ns: int = 0
+    unconfirmed: bool = False
 
 
 class ResponseStarted(NamedTuple):
@@ -414,13 +416,15 @@
     """Start the next attempt of a request and give it up at `abandon_ns`.
 
     If `begin_by_ns` is not 0, the attempt must not be sent after it, however long its connection takes to come
-    up: a repeat is harmless only until then.
+    up: a repeat is harmless only until then. With `confirmed_only` it must not be sent unless it is certain that
+    the process at the server's address is the one on the list: a repeat is harmless only in a group of servers.
     """
 
     tid: str
     server: str
     abandon_ns: int
     begin_by_ns: int = 0
+    confirmed_only: bool = False
 
 
 class Refuse(NamedTuple):
--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -69,7 +69,7 @@
     __slots__ = (
         "_abandon_timer", "_deferred", "_done", "_head_status", "_incarnation", "_last", "_last_byte_delay_s",
         "_last_byte_connection", "_last_byte_position", "_limits", "_memory", "_phase", "_phase_timer", "_pool",
-        "_reader", "_request", "_reused", "_server", "_socket", "_started_ns", "_stream", "use",
+        "_reader", "_request", "_reused", "_server", "_socket", "_started_ns", "_stream", "unconfirmed", "use",
     )  # fmt: skip
 
     def __init__(
@@ -87,6 +87,7 @@
         # connection sends. Kept after the connection was closed or reused; see `may_have_run`.
         self._last_byte_connection: ServerConnection | None = None
         self._last_byte_position = 0
+        self.unconfirmed = False  # it is not certain that the server on the list got the request
         self._reused = False
         # Decided by a response's head; nothing after it changes that.
         self._head_status: AttemptStatus | None = None
@@ -145,6 +146,9 @@
         pool, address = self._pool, self._server.address
         self._phase = CONNECTING
         self._incarnation = self._server.incarnation
+        if self._limits.confirmed_only and self._server.doubted(pool.loop.time()):
+            self._fail(AttemptStatus.NOT_SENT)
+            return
         if not pool.reserve_connection():
             self._fail(AttemptStatus.NOT_SENT)  # this does not indicate a fault of the server
             return
@@ -158,10 +162,16 @@
         if error == errno.EINPROGRESS:
             self._await_connection(sock)
         elif error:
+            self._doubt_if_refused(error)
             self._fail(pool.classify_connect_error(self._server, error))
         else:
             self._use_connection()
 
+    def _doubt_if_refused(self, error: int) -> None:
+        """A refused connect means that no process listens at the address."""
+        if error == errno.ECONNREFUSED:
+            self._server.doubt(self._pool.loop.time())
+
     def _await_connection(self, sock: socket.socket) -> None:
         pool = self._pool
         try:
@@ -180,6 +190,7 @@
         except OSError:
             error = 0  # a failed connection shows when the request is written
         if error:
+            self._doubt_if_refused(error)
             self._fail(AttemptStatus.CONNECT_FAILED)
             return
         self._pool.loop.remove_writer(sock.fileno())
@@ -194,6 +205,7 @@
         except OSError as failure:
             self._fail(self._pool.classify_connect_error(self._server, failure.errno))
             return
+        self._server.established.add(self._stream)
         self.use = ConnectionUse(self._stream.number, 0, 0.0)
         self._socket = None
         self._pool.record_connected(self._server)
@@ -243,6 +255,10 @@
                 AttemptStatus.NOT_SENT
             )  # the update is applied already, though `on_server_draining` is still to be called
             return
+        self.unconfirmed = not self._server.confirmed(stream, self._pool.loop.time())
+        if self.unconfirmed and self._limits.confirmed_only:
+            self._fail(AttemptStatus.NOT_SENT)
+            return
         begin_by_ns = self._limits.begin_by_ns
         if begin_by_ns and self._pool.clock.now() >= begin_by_ns:
             self._fail(AttemptStatus.NOT_SENT)  # establishing the connection took too long
@@ -286,6 +302,8 @@
             # The same attempt continues on a new connection.
             if stream.has_bytes():
                 self._pool.record_surplus(stream)
+            elif stream.ended or stream.has_input():
+                self._server.on_ended(stream, self._pool.loop.time())
             self._pool.record_broken_idle()
             self._close_connection()
             self._reused = False
@@ -379,6 +397,7 @@
                 self._fail(AttemptStatus.UNUSABLE_RESPONSE)
                 return
         if response.status == SWITCHED:
+            self._server.established.discard(stream)
             sock, early = stream.detach()
             self._stream = None
             self._pool.release_connection()
@@ -457,6 +476,8 @@
         """End the attempt after a failure, with the outcome that the failure proves."""
         if self._phase is OVER:
             return
+        if self._stream is not None and self._stream.ended:
+            self._server.on_ended(self._stream, self._pool.loop.time())
         if status is AttemptStatus.RESET and self._reused and not self._reader.head_received:
             self._pool.record_broken_idle()
         if self._head_status is not None:
@@ -499,5 +520,6 @@
             self._pool.release_connection()
         if self._stream is not None:
             stream, self._stream = self._stream, None
+            self._server.established.discard(stream)
             stream.close()
             self._pool.release_connection()
--- a/covetally/net/outcome.py
+++ b/covetally/net/outcome.py
@@ -47,12 +47,14 @@
     """The conditions under which an attempt may start and continue.
 
     The attempt is given up at `abandon_ns`. It does not start after `begin_by_ns` (0: no such limit), nor once
-    `client_connected` returns False.
+    `client_connected` returns False, nor with `confirmed_only` where the server is not confirmed to be the one on
+    the list (see `Server`).
     """
 
     abandon_ns: int
     client_connected: Callable[[], bool]
     begin_by_ns: int = 0
+    confirmed_only: bool = False
 
 
 class Outcome(NamedTuple):
--- a/covetally/net/server.py
+++ b/covetally/net/server.py
@@ -15,6 +15,7 @@
 from covetally.net.server_connection import ServerConnection
 from covetally.net.timer_wheel import Timer, TimerWheel
 
+DOUBT_S = 10.0  # the list tells of a change within 6 s of when discovery had it
 MAX_WAITING = 3  # attempts at one server that wait for an idle connection; a further one opens a connection
 
 
@@ -35,19 +36,52 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
-    """A server's address, its idle connections (most recently used last) and its unsent attempts."""
+    """A server's address, its connections (idle ones by their last use) and its unsent attempts.
+
+    When all connections to a server have ended, or a new one was refused, its process may have died, and another
+    server may have started at its address, before the list tells. What is connected from then on is not confirmed
+    to be the server on the list, until the list names a new process or DOUBT_S have passed.
+    """
 
     address: Address
     started_ns: int = 0
     incarnation: int = 0  # counts the processes seen behind this name
     draining: bool = False  # it drains or was removed: no new request is written to it
     idle: dict[ServerConnection, None] = field(default_factory=dict)
+    established: set[ServerConnection] = field(default_factory=set)  # idle and in use
+    doubted_from: float = 0.0  # connections made from then on are not confirmed,
+    doubted_until: float = 0.0  # until this time; both on the loop's clock
     awaited_until: list[float] = field(default_factory=list)  # when attempts end their wait for idle connections
     idle_timer: Timer | None = None  # closes connections that were idle for too long
     unsent: set[UnsentAttempt] = field(default_factory=set)
     local_failures: int = 0  # consecutive connects that failed for lack of a resource on this machine
     local_failures_since: float = 0.0  # the time of the first of them, on the loop's clock
 
+    def on_ended(self, connection: ServerConnection, now: float) -> None:
+        """Record that the server has ended a connection, and not with a response."""
+        self.established.discard(connection)
+        if not self.established:
+            self.doubt(now)
+
+    def doubt(self, now: float) -> None:
+        """Record a sign that the server's process has died."""
+        if not self.doubted(now):
+            self.doubted_from = now
+        self.doubted_until = now + DOUBT_S
+
+    def doubted(self, now: float) -> bool:
+        """Whether a new connection is not confirmed to be to the server on the list."""
+        return now < self.doubted_until
+
+    def confirmed(self, connection: ServerConnection, now: float) -> bool:
+        """Whether a connection is confirmed to be to the server on the list."""
+        return not self.doubted(now) or connection.connected_at < self.doubted_from
+
+    def on_new_process(self) -> None:
+        """The list names a new process."""
+        self.incarnation += 1
+        self.doubted_until = 0.0
+
     def may_await(self, now: float, until: float) -> bool:
         """Whether one more attempt may wait until then for an idle connection; times are on the loop's clock."""
         self.awaited_until = [at for at in self.awaited_until if at > now]
--- a/covetally/net/server_connection.py
+++ b/covetally/net/server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import socket
 from collections.abc import Callable
@@ -29,12 +30,13 @@
 class ServerConnection(Stream):
     """A stream to a server that is used for one request after the other."""
 
-    __slots__ = ("answers", "carried", "idle_since", "last_answer_ok", "number")
+    __slots__ = ("answers", "carried", "connected_at", "idle_since", "last_answer_ok", "number")
 
     def __init__(self, sock: socket.socket, on_input: Callable[[], None], on_flushed: Callable[[], None]) -> None:
         super().__init__(httptools.HttpResponseParser, sock, on_input, on_flushed)
         self.number = next(_numbers)
         self.carried = 0  # requests that were completely answered
+        self.connected_at = asyncio.get_running_loop().time()
         self.idle_since = 0.0  # when its last answer ended, on the loop's clock
         self.last_answer_ok = True  # the last answer was a 200
         # The last complete 200 responses by the hash of the body, and when each ended, on the loop's clock.
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -315,7 +315,9 @@
         if self.tracing:
             log.debug("request %s: attempt %d at %s", self._client_id(action.tid), number, action.server)
         done = partial(self._attempt_ended, action, call, number, now)
-        limits = AttemptLimits(abandon_ns, call.exchange.client_connected, action.begin_by_ns)
+        limits = AttemptLimits(
+            abandon_ns, call.exchange.client_connected, action.begin_by_ns, action.confirmed_only
+        )
         call.attempts[number] = self._upstream.attempt(action.server, call.exchange.request, limits, done)
 
     def _may_repeat(self, action: Submit, call: _Call, now: int) -> bool:
@@ -370,7 +372,15 @@
         latency_ns = outcome.latency_ns or elapsed_ns
         local_ns = max(0, elapsed_ns - latency_ns)
         event = AttemptEnded(
-            tid, outcome.status, latency_ns, action.server, number, call.over, outcome.load, local_ns
+            tid,
+            outcome.status,
+            latency_ns,
+            action.server,
+            number,
+            call.over,
+            outcome.load,
+            local_ns,
+            attempt.unconfirmed,
         )
         if self.observer is not None:
             self.observer.on_attempt_ended(event, call.cls)
--- a/covetally/net/upstream.py
+++ b/covetally/net/upstream.py
@@ -80,7 +80,7 @@
             if (address, entry.started_ns) != (server.address, server.started_ns):
                 # A new process serves this name: connections to its predecessor are of no use.
                 server.address, server.started_ns = address, entry.started_ns
-                server.incarnation += 1
+                server.on_new_process()
                 self._close_idle(server)
             if entry.lifecycle == "removed":
                 removed.add(entry.server)
@@ -112,6 +112,7 @@
     def _drop(self, server: Server, connection: ServerConnection) -> None:
         """Close an idle connection."""
         del server.idle[connection]
+        server.established.discard(connection)
         connection.close()
         self.release_connection()
 
@@ -120,6 +121,8 @@
         the next request's answer."""
         if connection.has_bytes():
             self.record_surplus(connection)
+        else:
+            server.on_ended(connection, self.loop.time())
         self._drop(server, connection)
 
     def record_surplus(self, connection: ServerConnection) -> None:
--- a/covetally/policy/attempt_rules.py
+++ b/covetally/policy/attempt_rules.py
@@ -30,6 +30,8 @@
         return not call.outstanding  # only free classes are hedged before it is known what was executed where
     if cls.repeat != "guarded" or now >= executed_at + cls.window_ns:
         return False
+    if call.executed_unconfirmed and cls.group != "all":
+        return False  # the group of the server that may have executed it is not known
     if cls.group == "zone":
         return server.zone == executed_on.zone
     return cls.group == "all" or (cls.group == "cell" and server.cell == executed_on.cell)
@@ -65,8 +67,10 @@
     abandon_at = call.deadline
     if now < call.aim_at < abandon_at and not call.cls.late_worth > 0:
         abandon_at = call.aim_at
-    begin_by = call.executed_at + call.cls.window_ns if call.executed_on and call.cls.repeat == "guarded" else 0
-    state.actions.append(Submit(call.tid, server.name, abandon_at, begin_by))
+    repeat = call.executed_on is not None and call.cls.repeat == "guarded"
+    begin_by = call.executed_at + call.cls.window_ns if repeat else 0
+    confirmed_only = repeat and call.cls.group != "all"
+    state.actions.append(Submit(call.tid, server.name, abandon_at, begin_by, confirmed_only))
 
 
 def finish(state: BalancerState, now: int, call: Call, hold_off: int) -> None:
--- a/covetally/policy/calls.py
+++ b/covetally/policy/calls.py
@@ -16,6 +16,7 @@
     attempts = 0
     executed_on: Server | None = None  # the first server that may have executed it
     executed_at = 0
+    executed_unconfirmed = False  # it may have been executed by a server other than the one on the list
     response_started = False
     queue_until = 0
 
--- a/covetally/policy/events.py
+++ b/covetally/policy/events.py
@@ -143,6 +143,8 @@
         else:
             if status not in NOT_EXECUTED and call.executed_on is None:
                 call.executed_on, call.executed_at = server, attempt.sent_at
+            if status not in NOT_EXECUTED and event.unconfirmed:
+                call.executed_unconfirmed = True
             if not call.outstanding and not call.response_started:
                 retry_or_finish(state, now, call)
     if state.queue:
--- a/tests/support.py
+++ b/tests/support.py
@@ -115,8 +115,9 @@
         self.feed(Shutdown(end))
 
     def answer(
-        self, tid: str, attempt: int, status: int = 100, latency: int | None = None, **load: float
-    ) -> list[Any]:
+        self, tid: str, attempt: int, status: int = 100, latency: int | None = None, unconfirmed: bool = False,
+        **load: float,
+    ) -> list[Any]:  # fmt: skip
         """End an attempt with a status, after a latency, and with a load report."""
         server, sent, _ = self.outstanding.pop((tid, attempt))
         self.history[tid][attempt] = (server, sent, status)
@@ -124,7 +125,7 @@
         if status == 100 and tid in self.owed:
             self._final(tid, "served")
         latency = self.now - sent if latency is None else latency
-        return self.feed(AttemptEnded(tid, status, latency, server, attempt, closed, load))
+        return self.feed(AttemptEnded(tid, status, latency, server, attempt, closed, load, 0, unconfirmed))
 
     def disconnect(self, tid: str) -> None:
         """Let the client of a request leave."""
