--- a/benchmarks/memory_pressure.py
+++ b/benchmarks/memory_pressure.py
@@ -11,7 +11,7 @@
 import click
 
 from benchmarks.report import progress, show
-from covetally.rig.memory_clients import KINDS
+from covetally.rig.memory_clients import KINDS, KINDS_AT_SPEED
 from covetally.rig.memory_pressure import EVENTS, PressurePlan, play
 
 
@@ -19,7 +19,11 @@
 @click.option("--seeds", default=20, show_default=True, help="Drawn plays.")
 @click.option("--first", default=1, show_default=True, help="The first seed.")
 @click.option(
-    "--kind", "kinds", multiple=True, type=click.Choice(sorted(KINDS)), help="Plays this, nothing drawn."
+    "--kind",
+    "kinds",
+    multiple=True,
+    type=click.Choice(sorted(KINDS | KINDS_AT_SPEED)),
+    help="Plays this, nothing drawn.",
 )
 @click.option("--clients", default=400, show_default=True)
 @click.option("--memory", "memory", default=(32,), multiple=True, show_default=True, help="Limits in MB.")
--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -92,7 +92,7 @@
         # Decided by a response's head; nothing after it changes that.
         self._head_status: AttemptStatus | None = None
         self._reader = ResponseReader(request, pool.parse_load_report)
-        self._memory = MemoryReservation(pool.memory)  # of the response
+        self._memory: MemoryReservation | None = None  # of a response that does not come at once
         self._incarnation = 0
         self._phase = CONNECTING
         self._abandon_timer: Timer | None = None
@@ -255,7 +255,8 @@
                 AttemptStatus.NOT_SENT
             )  # the update is applied already, though `on_server_draining` is still to be called
             return
-        self.unconfirmed = not self._server.confirmed(stream, self._pool.loop.time())
+        if self._server.doubted_until:
+            self.unconfirmed = not self._server.confirmed(stream, self._pool.loop.time())
         if self.unconfirmed and self._limits.confirmed_only:
             self._fail(AttemptStatus.NOT_SENT)
             return
@@ -349,7 +350,7 @@
                     if result is not None:
                         self._on_result(result)
                         return
-            self._memory.resize(MemoryKind.RESPONSE, stream.held + self._reader.held)
+            self._charge(stream.held + self._reader.held)
             if self._reader.ends_with_connection:
                 self._expect_end()
         except MemoryExhausted:
@@ -363,6 +364,12 @@
         except OSError:
             self._fail(AttemptStatus.RESET)
 
+    def _charge(self, size: int) -> None:
+        """Charge the memory that an incomplete response takes. Raises MemoryExhausted."""
+        if self._memory is None:
+            self._memory = MemoryReservation(self._pool.memory)
+        self._memory.resize(MemoryKind.RESPONSE, size)
+
     def _expect_end(self) -> None:
         """Limit the wait for the end of the connection, which ends a response without a length."""
         self._cancel_phase_timer()
@@ -495,7 +502,8 @@
         if self._abandon_timer is not None:
             self._abandon_timer.cancel()
         self._server.unsent.discard(self)
-        self._memory.release()
+        if self._memory is not None:
+            self._memory.release()
         if self._stream is not None or self._socket is not None:
             self._close_connection()
         self._report(outcome)
--- a/covetally/net/client_connection.py
+++ b/covetally/net/client_connection.py
@@ -38,7 +38,13 @@
     encode,
     append_part,
 )
-from covetally.net.memory import CONNECTION_BYTES, MemoryExhausted, MemoryKind, MemoryReservation
+from covetally.net.memory import (
+    CONNECTION_BYTES,
+    SMALL_REQUEST_BYTES,
+    MemoryExhausted,
+    MemoryKind,
+    MemoryReservation,
+)
 from covetally.net.outcome import Request, encode_head
 from covetally.net.extensions import Upgrade
 from covetally.net.sidecar import refusal as refused
@@ -175,7 +181,8 @@
     def _release_request(self) -> None:
         """Free the current request and its id."""
         self._head, self._body, self.request = b"", b"", NO_REQUEST
-        self.memory.resize(MemoryKind.CONNECTION, CONNECTION_BYTES)
+        if self.memory.size != CONNECTION_BYTES:
+            self.memory.resize(MemoryKind.CONNECTION, CONNECTION_BYTES)
         if self._id_claimed:
             self._id_claimed = False
             self._manager.release(self.trace_id)
@@ -372,9 +379,9 @@
         if stream.leftover and upgrade is None:
             # Guards against request smuggling: the protocol allows one request at a time on a connection.
             raise Rejected(400, "more than one request at a time")
-        # A copy of it is kept until the server's kernel has taken it.
-        size = CONNECTION_BYTES + 2 * (len(self._head) + len(self._body))
-        self.memory.resize(MemoryKind.REQUEST, size)
+        size = 2 * (len(self._head) + len(self._body))  # with the copy that is being sent to a server
+        if size > SMALL_REQUEST_BYTES or self.memory.size != CONNECTION_BYTES:
+            self.memory.resize(MemoryKind.REQUEST, CONNECTION_BYTES + size)
         if request_info is not None:
             if not manager.claim(self.trace_id):
                 raise Rejected(409, "X-Trace-Id is that of another recent request")
@@ -494,7 +501,8 @@
     def _on_response_written(self) -> None:
         """The kernel has taken the whole response: wait for the next request, or close."""
         stream = self.stream
-        self.memory.resize(MemoryKind.CONNECTION, CONNECTION_BYTES)
+        if self.memory.size != CONNECTION_BYTES:
+            self.memory.resize(MemoryKind.CONNECTION, CONNECTION_BYTES)
         if not self._last_response and (
             stream.prepare_next_message() if self.request_started else not stream.leftover
         ):
--- a/covetally/net/http_message.py
+++ b/covetally/net/http_message.py
@@ -240,14 +240,11 @@
         self._lengths.extend(map(len, texts))
         self._headers = []
 
-    def _take_headers(self) -> Headers:
-        headers, self._headers = self._headers, []
-        if not self._lengths:
-            return headers
+    def _unpack_headers(self) -> Headers:
         packed, ends = bytes(self._packed), list(accumulate(self._lengths, initial=0))
         texts = [packed[start:end] for start, end in pairwise(ends)]
         self._packed, self._lengths = bytearray(), array("I")
-        return [*zip(texts[::2], texts[1::2], strict=True), *headers]
+        return list(zip(texts[::2], texts[1::2], strict=True))
 
     def end(self) -> End:
         """The final part after the peer has closed its side (FIN); Malformed if that is inside a message.
@@ -290,7 +287,9 @@
     def on_headers_complete(self) -> None:
         if self.surplus:
             return
-        headers = self._take_headers()
+        headers, self._headers = self._headers, []
+        if self._lengths:
+            headers = self._unpack_headers() + headers
         fields, parser = dict(headers), self._parser
         version = parser.get_http_version()
         if version != "1.1":
--- a/covetally/net/memory.py
+++ b/covetally/net/memory.py
@@ -29,8 +29,9 @@
 
 log = logging.getLogger(__name__)
 
-# Of a connection: socket, stream, parser, timers, entries in tables.
-CONNECTION_BYTES = 4 * 1024
+# Of a connection: socket, stream, parser, timers, entries in tables, and a request that takes no more than this.
+CONNECTION_BYTES = 5 * 1024
+SMALL_REQUEST_BYTES = 1024
 FIELD_BYTES = 320  # of a header field as objects, beside its own bytes
 SMALL_BYTES = CONNECTION_BYTES + 8 * 1024
 INCOMPLETE_SHARE = 0.5
@@ -158,7 +159,7 @@
         """Hold `size` bytes of this kind in place of what was held before. Raises MemoryExhausted, and changes
         nothing, if they do not fit."""
         account, growth = self._account, size - self.size
-        if growth > 0:
+        if growth > 0 and (size > SMALL_BYTES or account.used + growth > account.size):
             self._make_room(kind, size)
         account.held[self.kind] -= self.size
         account.held[kind] += size
--- a/covetally/net/request_validation.py
+++ b/covetally/net/request_validation.py
@@ -39,22 +39,19 @@
 def _session_key(target: bytes) -> str:
     """The key of the request: the query parameter `sid`, empty if there is none. A long one is replaced by its
     hash: the balancer keeps thousands of keys."""
-    key = _sid_parameter(target)
-    if len(key) <= MAX_KEY_LENGTH:
-        return key
-    return blake2b(key.encode("utf-8", "replace"), digest_size=16).hexdigest()
-
-
-def _sid_parameter(target: bytes) -> str:
     query = target.partition(b"?")[2]
     if query.startswith(b"sid=") and query[4:].isalnum():
-        return query[4:].decode("ascii")  # the usual case: one field without escapes
-    if not query:
-        return ""
-    try:
-        return parse_qs(query.decode("latin-1"), max_num_fields=64).get("sid", [""])[0]
-    except ValueError:  # too many fields
+        key = query[4:].decode("ascii")  # the usual case: one field without escapes
+    elif not query:
         return ""
+    else:
+        try:
+            key = parse_qs(query.decode("latin-1"), max_num_fields=64).get("sid", [""])[0]
+        except ValueError:  # too many fields
+            return ""
+    if len(key) > MAX_KEY_LENGTH:
+        return blake2b(key.encode("utf-8", "replace"), digest_size=16).hexdigest()
+    return key
 
 
 class RequestValidator:
--- a/covetally/net/response_reader.py
+++ b/covetally/net/response_reader.py
@@ -56,7 +56,7 @@
     """Collects the parts of one response and determines its result."""
 
     __slots__ = (
-        "_body", "_head", "_head_bytes", "_interim_count", "_read_load", "_switch", "ends_with_connection",
+        "_body", "_head", "_interim_count", "_read_load", "_switch", "ends_with_connection",
         "head_received", "load",
     )  # fmt: skip
 
@@ -64,7 +64,6 @@
         self._switch = request.switch
         self._read_load = read_load
         self._head: ResponseHead | None = None  # of a 200 response whose body is awaited
-        self._head_bytes = 0  # the memory that the head takes
         self._body: bytes | bytearray = b""
         self._interim_count = 0
         self.head_received = False  # a final head has been received
@@ -74,7 +73,8 @@
     @property
     def held(self) -> int:
         """The bytes of memory that the response takes so far."""
-        return self._head_bytes + len(self._body)
+        head = headers_bytes(self._head.headers) if self._head is not None else 0
+        return head + len(self._body)
 
     def add_part(self, part: MessagePart, sent: bool) -> ResponseResult | None:
         """Process the next part and return the result once it is known. `sent` tells whether the last byte of the
@@ -116,7 +116,7 @@
             return ResponseResult(AttemptStatus.CANCELLED, HttpResponse(502, []))
         if head.status == STATUS_OK and sent:
             self.ends_with_connection = not check_length(fields)
-            self._head, self._head_bytes = head, headers_bytes(head.headers)
+            self._head = head
             return None
         if head.status in NEVER_RAN_STATUS and (b"x-never-ran", b"1") in head.headers:
             return ResponseResult(AttemptStatus.FULL)
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -99,6 +99,7 @@
     cls: int
     deadline_ns: int
     trace_id: bytes  # that the client gave the request
+    free: bool  # its class may be repeated freely
     attempts: dict[int, Attempt] = field(default_factory=dict)
     sent: int = 0  # the number of attempts so far
     ran_at_ns: int = 0  # when the first attempt that may have run was started; 0: none
@@ -133,7 +134,7 @@
         # Called with the class and the final answer of each request; None: the client has left.
         self.on_completed: Callable[[int, HttpResponse | None], None] | None = None
         # Called with the id of each request that may have run and is not free to be repeated.
-        self.on_may_have_run: Callable[[bytes], None] | None = None
+        self.on_may_have_run: Callable[[bytes], None] = lambda trace_id: None
         self.violations = Violations()
         self._classes = settings.classes
         self.tracing = False  # log each attempt and each answer at DEBUG
@@ -188,7 +189,8 @@
         now = self._clock.now()
         if self._shutdown_ns:
             ttl_ns = max(min(ttl_ns, self._shutdown_ns - now), 1)
-        self._calls[tid] = _Call(exchange, cls, now + ttl_ns, name)
+        free = 0 <= cls < len(self._classes) and self._classes[cls].repeat == "free"
+        self._calls[tid] = _Call(exchange, cls, now + ttl_ns, name, free)
         if self._sweep is None:
             self._schedule_sweep()
         priority = 0.0
@@ -361,8 +363,8 @@
                 response.switched.sock.close()  # the client has left
         elif not call.ran_at_ns and outcome.status not in NOT_EXECUTED:
             call.ran_at_ns = sent_ns
-        if outcome.status is not AttemptStatus.FULL and attempt.may_have_run():
-            self._report_may_have_run(call)
+        if not call.free and outcome.status is not AttemptStatus.FULL and attempt.may_have_run():
+            self.on_may_have_run(call.trace_id)
         if self.on_outcome is not None:
             self.on_outcome(action.server, outcome.status)
         if self.on_attempt is not None:
@@ -387,12 +389,6 @@
         self._handle(event, now)
         self._remove_if_done(tid, call)
 
-    def _report_may_have_run(self, call: _Call) -> None:
-        """Report a request that may have run, unless its class is known to be free to be repeated."""
-        known = 0 <= call.cls < len(self._classes)
-        if self.on_may_have_run is not None and not (known and self._classes[call.cls].repeat == "free"):
-            self.on_may_have_run(call.trace_id)
-
     def _finish(self, tid: str, response: HttpResponse) -> None:
         call = self._calls.get(tid)
         if call is None or call.over:
--- a/covetally/rig/memory_pressure.py
+++ b/covetally/rig/memory_pressure.py
@@ -96,7 +96,8 @@
         return {
             "rest_mb": round(self.rest_mb, 1), "peaks_mb": [round(peak, 1) for peak in self.peaks_mb],
             "after_mb": round(self.after_mb, 1), "resident_mb": round(self.largest_resident_mb, 1),
-            "statuses": dict(self.statuses), "unanswered": len(self.unanswered), "closed": len(self.closed),
+            "statuses": dict(self.statuses), "p99_ms": self.p99_ms(),
+            "unanswered": len(self.unanswered), "closed": len(self.closed),
             "stopped": len(self.waits_s), "longest_s": round(max(self.waits_s, default=0.0), 2),
         }  # fmt: skip
 
--- a/covetally/rig/usual_clients.py
+++ b/covetally/rig/usual_clients.py
@@ -23,9 +23,15 @@
     """What the usual clients of one play saw."""
 
     statuses: Counter[int] = field(default_factory=Counter)
+    latencies_s: list[float] = field(default_factory=list)  # of answers 200
     unanswered: list[str] = field(default_factory=list)
     closed: list[str] = field(default_factory=list)  # first requests on a connection that were closed unanswered
 
+    def p99_ms(self) -> float:
+        """The 99th percentile of the latencies."""
+        ordered = sorted(self.latencies_s)
+        return round(ordered[int(0.99 * len(ordered))] * 1000, 1) if ordered else 0.0
+
     def broken(self) -> list[str]:
         """What was owed to usual clients and not kept, in words."""
         found = [f"{name} had no answer" for name in self.unanswered]
@@ -59,6 +65,7 @@
             break
         name = f"usual{number}-{turn}"
         reused = connection is not None
+        asked_at = time.monotonic()
         try:
             async with asyncio.timeout(LATEST_S):
                 if connection is None:
@@ -76,6 +83,8 @@
             connection = None
         else:
             report.statuses[status] += 1
+            if status == 200:
+                report.latencies_s.append(time.monotonic() - asked_at)
             if not kept:
                 connection[1].close()
                 connection = None
