--- a/covetally/net/http_message.py
+++ b/covetally/net/http_message.py
@@ -178,6 +178,7 @@
         self._parser: Any = parser_type(self)
         self._parses_requests = parser_type is httptools.HttpRequestParser
         self._bytes_since_part = 0  # bytes fed since the last part
+        self._clear_packed()
         self.start_message()
 
     def start_message(self) -> None:
@@ -185,8 +186,8 @@
         self._target = b""
         self._reason = b""
         self._headers: Headers = []
-        self._packed = bytearray()  # names and values of the earlier headers of an incomplete head
-        self._lengths = array("I")  # of each of them
+        if self._lengths:
+            self._clear_packed()
         self.started = self.complete = False
         self.persistent = True  # the peer allows the connection to be kept for another message
         self._interim = False
@@ -203,7 +204,7 @@
         self._parser = self.error = None
         self.parts.clear()
         self._headers = []
-        self._packed, self._lengths = bytearray(), array("I")
+        self._clear_packed()
         self._target = self._reason = self.leftover = b""
 
     def feed(self, data: bytes) -> None:
@@ -233,17 +234,23 @@
         if self._bytes_since_part > MAX_HEAD and self.error is None:
             self.error = Malformed("message head too long", 431)
 
+    def _clear_packed(self) -> None:
+        self._packed = bytearray()  # names and values of the earlier headers of an incomplete head
+        self._lengths = array("I")  # of each of them
+        self._fields_left = MAX_FIELDS  # that may be in `_headers`
+
     def _pack_headers(self) -> None:
         """Turn the headers of an incomplete head into one block of bytes, which takes much less memory."""
         texts = [text for header in self._headers for text in header]
         self._packed += b"".join(texts)
         self._lengths.extend(map(len, texts))
+        self._fields_left -= len(self._headers)
         self._headers = []
 
     def _unpack_headers(self) -> Headers:
         packed, ends = bytes(self._packed), list(accumulate(self._lengths, initial=0))
         texts = [packed[start:end] for start, end in pairwise(ends)]
-        self._packed, self._lengths = bytearray(), array("I")
+        self._clear_packed()
         return list(zip(texts[::2], texts[1::2], strict=True))
 
     def end(self) -> End:
@@ -278,7 +285,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.surplus:
-            if len(self._lengths) // 2 + len(self._headers) >= MAX_FIELDS:
+            if len(self._headers) >= self._fields_left:
                 raise Malformed("too many header fields", 431)
             self._headers.append((name.lower(), value.strip()))
             if b"HTTP/1." in value and not self._parses_requests and contains_status_line(value):
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -137,6 +137,7 @@
         self.on_may_have_run: Callable[[bytes], None] = lambda trace_id: None
         self.violations = Violations()
         self._classes = settings.classes
+        self._free_classes = _free_classes(settings)
         self.tracing = False  # log each attempt and each answer at DEBUG
         self._shutdown_ns = 0  # during shutdown: when the last answer is due; 0 before
         self._balancer = Balancer(settings, seed, clock.now())
@@ -144,6 +145,7 @@
     def reconfigure(self, settings: Settings) -> None:
         """Apply changed settings; the classes themselves must be the same."""
         self._classes = settings.classes
+        self._free_classes = _free_classes(settings)
         self._balancer.reconfigure(settings)
 
     def server_statuses(self) -> list[ServerStatus]:
@@ -189,8 +191,7 @@
         now = self._clock.now()
         if self._shutdown_ns:
             ttl_ns = max(min(ttl_ns, self._shutdown_ns - now), 1)
-        free = 0 <= cls < len(self._classes) and self._classes[cls].repeat == "free"
-        self._calls[tid] = _Call(exchange, cls, now + ttl_ns, name, free)
+        self._calls[tid] = _Call(exchange, cls, now + ttl_ns, name, cls in self._free_classes)
         if self._sweep is None:
             self._schedule_sweep()
         priority = 0.0
@@ -414,6 +415,11 @@
             self._calls.pop(tid, None)
 
 
+def _free_classes(settings: Settings) -> frozenset[int]:
+    """The numbers of the classes that may be repeated freely."""
+    return frozenset(number for number, cls in enumerate(settings.classes) if cls.repeat == "free")
+
+
 @lru_cache(maxsize=64)
 def _encoded_refusal(hold_off_ns: int) -> bytes:
     response = refusal(hold_off_ns)
