Split establishing a connection from the attempt that uses it

Need: net/attempt.py had 530 lines and two state machines in one. net/connector.py establishes one connection, with the connect timeout and what a failure proves; an attempt uses it. Behaviour as before. tests/crossings, test_servers, test_overload, incidents/test_system_calls, test_interim_responses and others: 345 passed.

--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -24,21 +24,19 @@
 
 import asyncio
 import enum
-import errno
 import logging
-import socket
 import time
 from collections.abc import Callable
 from functools import partial
 
 from covetally.interface import NOT_EXECUTED, AttemptStatus
+from covetally.net.connector import Connector
 from covetally.net.http_message import Broken, End, Malformed, SwitchedConnection
 from covetally.net.memory import MemoryExhausted, MemoryKind, MemoryReservation
 from covetally.net.outcome import NO_LOAD, AttemptLimits, Outcome, Request
 from covetally.net.response_reader import SWITCHED, ResponseResult, ResponseReader
 from covetally.net.server import ConnectionPool, Server
 from covetally.net.server_connection import ConnectionUse, ServerConnection
-from covetally.net.stream import create_tcp_socket, tcp_info
 from covetally.net.timer_wheel import Timer
 
 log = logging.getLogger(__name__)
@@ -67,9 +65,10 @@
     """One attempt to send a request to a server."""
 
     __slots__ = (
-        "_abandon_timer", "_deferred", "_done", "_head_status", "_incarnation", "_last", "_last_byte_delay_s",
-        "_last_byte_connection", "_last_byte_position", "_limits", "_memory", "_phase", "_phase_timer", "_pool",
-        "_reader", "_request", "_reused", "_server", "_socket", "_started_ns", "_stream", "unconfirmed", "use",
+        "_abandon_timer", "_connector", "_deferred", "_done", "_head_status", "_incarnation", "_last",
+        "_last_byte_connection", "_last_byte_delay_s", "_last_byte_position", "_limits", "_memory", "_phase",
+        "_phase_timer", "_pool", "_reader", "_request", "_reused", "_server", "_started_ns", "_stream",
+        "unconfirmed", "use",
     )  # fmt: skip
 
     def __init__(
@@ -80,8 +79,8 @@
         self._limits = limits
         self._stream: ServerConnection | None = None
         self.use: ConnectionUse | None = None  # of the last connection, for logs
-        self._socket: socket.socket | None = None  # while the connection is being established
-        # Ends CONNECTING, SETTLING, DELAYING and TAIL.
+        self._connector: Connector | None = None  # in CONNECTING
+        # Ends SETTLING, DELAYING and TAIL.
         self._phase_timer: asyncio.TimerHandle | Timer | None = None
         # The connection that was given the last byte of the request, and the end of that byte in what the
         # connection sends. Kept after the connection was closed or reused; see `may_have_run`.
@@ -143,81 +142,28 @@
         self._phase_timer = self._pool.loop.call_later(seconds, then)
 
     def _connect(self) -> None:
-        pool, address = self._pool, self._server.address
         self._phase = CONNECTING
         self._incarnation = self._server.incarnation
-        if self._limits.confirmed_only and self._server.doubted(pool.loop.time()):
+        if self._limits.confirmed_only and self._server.doubted(self._pool.loop.time()):
             self._fail(AttemptStatus.NOT_SENT)
             return
-        if not pool.reserve_connection():
-            self._fail(AttemptStatus.NOT_SENT)  # this does not indicate a fault of the server
-            return
-        try:
-            self._socket = sock = create_tcp_socket(address)
-        except OSError as failure:
-            pool.release_connection()
-            self._fail(pool.classify_connect_error(self._server, failure.errno))
-            return
-        error = sock.connect_ex(address)
-        if error == errno.EINPROGRESS:
-            self._await_connection(sock)
-        elif error:
-            self._doubt_if_refused(error)
-            self._fail(pool.classify_connect_error(self._server, error))
-        else:
-            self._use_connection()
-
-    def _doubt_if_refused(self, error: int) -> None:
-        """A refused connect means that no process listens at the address."""
-        if error == errno.ECONNREFUSED:
-            self._server.doubt(self._pool.loop.time())
-
-    def _await_connection(self, sock: socket.socket) -> None:
-        pool = self._pool
-        try:
-            pool.loop.add_writer(sock.fileno(), self._on_connected)
-        except OSError as failure:
-            self._fail(pool.classify_connect_error(self._server, failure.errno))
-            return
-        self._phase_timer = pool.wheel.call_at(pool.loop.time() + pool.connect_timeout_s, self._connect_timed_out)
+        self._connector = Connector(self._pool, self._server, self._on_connected, self._fail)
+        self._connector.start()
 
     def _on_connected(self) -> None:
-        """Handle the result of a connect: success or failure."""
-        sock = self._socket
-        assert sock is not None
+        connector = self._connector
+        assert connector is not None and connector.sock is not None
         try:
-            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        except OSError:
-            error = 0  # a failed connection shows when the request is written
-        if error:
-            self._doubt_if_refused(error)
-            self._fail(AttemptStatus.CONNECT_FAILED)
-            return
-        self._pool.loop.remove_writer(sock.fileno())
-        self._cancel_phase_timer()
-        self._use_connection()
-
-    def _use_connection(self) -> None:
-        sock = self._socket
-        assert sock is not None
-        try:
-            self._stream = ServerConnection(sock, self._on_input, self._on_flushed)
+            self._stream = ServerConnection(connector.sock, self._on_input, self._on_flushed)
         except OSError as failure:
             self._fail(self._pool.classify_connect_error(self._server, failure.errno))
             return
+        self._connector = None
         self._server.established.add(self._stream)
         self.use = ConnectionUse(self._stream.number, 0, 0.0)
-        self._socket = None
         self._pool.record_connected(self._server)
         self._write(0.0)
 
-    def _connect_timed_out(self) -> None:
-        """Handle the connect timeout. A connection that the kernel has established is no fault of the server."""
-        self._fail(AttemptStatus.NOT_SENT if self._established() else AttemptStatus.CONNECT_FAILED)
-
-    def _established(self) -> bool:
-        return self._socket is not None and tcp_info(self._socket)[0]
-
     def _write(self, last_byte_delay_s: float, checked: bool = False) -> None:
         """Write the request, or all but its last byte: as long as that is missing, the request cannot have run.
         `checked` says that the connection has just been checked for unexpected input."""
@@ -475,7 +421,7 @@
                 AttemptStatus.CANCELLED if stream is not None and stream.has_input() else AttemptStatus.TIMEOUT
             )
         else:
-            connecting = self._socket is not None and not self._established()
+            connecting = self._connector is not None and not self._connector.established()
             status = AttemptStatus.CONNECT_FAILED if connecting else AttemptStatus.NOT_SENT
         self._fail(status)
 
@@ -504,7 +450,7 @@
         self._server.unsent.discard(self)
         if self._memory is not None:
             self._memory.release()
-        if self._stream is not None or self._socket is not None:
+        if self._stream is not None or self._connector is not None:
             self._close_connection()
         self._report(outcome)
 
@@ -520,12 +466,10 @@
             self._phase_timer = None
 
     def _close_connection(self) -> None:
-        """Close the connection or the socket that is being connected, if there is one."""
-        if self._socket is not None:
-            sock, self._socket = self._socket, None
-            self._pool.loop.remove_writer(sock.fileno())
-            sock.close()
-            self._pool.release_connection()
+        """Close the connection, established or not, if there is one."""
+        if self._connector is not None:
+            self._connector.close()
+            self._connector = None
         if self._stream is not None:
             stream, self._stream = self._stream, None
             self._server.established.discard(stream)
