--- a/covetally/net/attempt.py
+++ b/covetally/net/attempt.py
@@ -32,7 +32,7 @@
 from covetally.interface import NOT_EXECUTED, AttemptStatus
 from covetally.net.connector import Connector
 from covetally.net.http_message import Broken, End, Malformed, SwitchedConnection
-from covetally.net.memory import MemoryExhausted, MemoryKind, MemoryReservation
+from covetally.net.memory import CHARGE_STEP_BYTES, MemoryExhausted, MemoryKind, MemoryReservation
 from covetally.net.outcome import NO_LOAD, AttemptLimits, Outcome, Request
 from covetally.net.response_reader import SWITCHED, ResponseResult, ResponseReader
 from covetally.net.server import ConnectionPool, Server
@@ -65,9 +65,9 @@
     """One attempt to send a request to a server."""
 
     __slots__ = (
-        "_abandon_timer", "_connector", "_deferred", "_done", "_head_status", "_incarnation", "_last",
-        "_last_byte_connection", "_last_byte_delay_s", "_last_byte_position", "_limits", "_memory", "_phase",
-        "_phase_timer", "_pool", "_reader", "_request", "_reused", "_server", "_started_ns", "_stream",
+        "_abandon_timer", "_charge_from", "_connector", "_deferred", "_done", "_head_status", "_incarnation",
+        "_last", "_last_byte_connection", "_last_byte_delay_s", "_last_byte_position", "_limits", "_memory",
+        "_phase", "_phase_timer", "_pool", "_reader", "_request", "_reused", "_server", "_started_ns", "_stream",
         "unconfirmed", "use",
     )  # fmt: skip
 
@@ -211,6 +211,7 @@
             self._fail(AttemptStatus.NOT_SENT)  # establishing the connection took too long
             return
         self._phase = EXCHANGE
+        self._charge_from = stream.received + CHARGE_STEP_BYTES
         self._last_byte_connection, self._last_byte_position = stream, stream.queued + len(self._last)
         data, self._last = self._last, b""
         if self._send(data):
@@ -296,7 +297,8 @@
                     if result is not None:
                         self._on_result(result)
                         return
-            self._charge(stream.held + self._reader.held)
+            if stream.received >= self._charge_from:
+                self._charge(stream)
             if self._reader.ends_with_connection:
                 self._expect_end()
         except MemoryExhausted:
@@ -310,11 +312,13 @@
         except OSError:
             self._fail(AttemptStatus.RESET)
 
-    def _charge(self, size: int) -> None:
-        """Charge the memory that an incomplete response takes. Raises MemoryExhausted."""
+    def _charge(self, stream: ServerConnection) -> None:
+        """Charge the memory that an incomplete response takes, and the next bytes of it. Raises
+        MemoryExhausted."""
         if self._memory is None:
             self._memory = MemoryReservation(self._pool.memory)
-        self._memory.resize(MemoryKind.RESPONSE, size)
+        self._memory.resize(MemoryKind.RESPONSE, stream.held + self._reader.held + CHARGE_STEP_BYTES)
+        self._charge_from = stream.received + CHARGE_STEP_BYTES
 
     def _expect_end(self) -> None:
         """Limit the wait for the end of the connection, which ends a response without a length."""
--- a/covetally/net/client_connection.py
+++ b/covetally/net/client_connection.py
@@ -39,6 +39,7 @@
     append_part,
 )
 from covetally.net.memory import (
+    CHARGE_STEP_BYTES,
     CONNECTION_BYTES,
     SMALL_REQUEST_BYTES,
     MemoryExhausted,
@@ -89,8 +90,8 @@
 
     __slots__ = (
         "_admitted", "_request_info", "_awaits_first_request", "_body", "_deadline", "_discarded", "_first_bytes",
-        "_head", "_id_claimed", "_last_response", "_loop", "_manager", "_method", "_phase", "_tid",
-        "_timer", "_timer_at", "_upgrade", "close_after_response", "memory", "request",
+        "_head", "_id_claimed", "_last_response", "_loop", "_manager", "_method", "_phase", "_received_before",
+        "_tid", "_timer", "_timer_at", "_upgrade", "close_after_response", "memory", "request",
         "request_started", "started_at", "stream", "trace_id",
     )  # fmt: skip
 
@@ -116,6 +117,7 @@
         self.started_at = (
             connected_at  # of that part's arrival; before that, and of a first request: of the connect
         )
+        self._received_before = 0  # bytes received on this connection before the current request
         self._first_bytes = 0  # received on this connection up to the first part of the current request
         self._timer: Timer | None = None
         self._timer_at = 0.0
@@ -265,9 +267,12 @@
 
     def _charge_input(self) -> None:
         """Charge the memory that an incomplete request takes, or reject it if there is none."""
+        received = self.stream.received - self._received_before
+        size = CONNECTION_BYTES + received + received // 8  # an array that grows has an eighth to spare
+        if size <= self.memory.size:
+            return
         try:
-            size = CONNECTION_BYTES + len(self._head) + len(self._body) + self.stream.held
-            self.memory.resize(MemoryKind.INCOMPLETE, size)
+            self.memory.resize(MemoryKind.INCOMPLETE, size + CHARGE_STEP_BYTES)
         except MemoryExhausted:
             self._reject_for_memory()
 
@@ -507,6 +512,7 @@
             stream.prepare_next_message() if self.request_started else not stream.leftover
         ):
             self.request_started = False
+            self._received_before = stream.received
             self._phase = READING
             # A response that was being written when a drain began did not announce the close of its connection.
             self._set_timeout(IN_FLIGHT_TIMEOUT_S if self._manager.drain_stage.draining else IDLE_TIMEOUT_S)
--- a/covetally/net/memory.py
+++ b/covetally/net/memory.py
@@ -32,6 +32,7 @@
 # Of a connection: socket, stream, parser, timers, entries in tables, and a request that takes no more than this.
 CONNECTION_BYTES = 5 * 1024
 SMALL_REQUEST_BYTES = 1024
+CHARGE_STEP_BYTES = 1024  # charged ahead, so that input in small pieces is not charged piece by piece
 FIELD_BYTES = 320  # of a header field as objects, beside its own bytes
 SMALL_BYTES = CONNECTION_BYTES + 8 * 1024
 INCOMPLETE_SHARE = 0.5
