--- a/review/stand_ins_2/play.py
+++ b/review/stand_ins_2/play.py
@@ -14,6 +14,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -181,8 +182,6 @@
 
 def free_port(host: str) -> int:
     """A port of this address that is free now."""
-    import socket
-
     with socket.socket() as sock:
         sock.bind((host, 0))
         return sock.getsockname()[1]
