Review: the stand-ins stand in case 6, and each case names the record that it writes

review/stand_ins_2 is now review/6/stand_ins_2, which all five cases use; each play.py hands on the path of its record.txt. Nothing else changes.

--- a/review/9/play.py
+++ b/review/9/play.py
@@ -18,6 +18,7 @@
 from stand_ins_2.play import TROUBLE, Record, Sidecar, loopback_host, run, site_settings
 from stand_ins_2.server import Arrival, Server
 
+CASE = Path(__file__).resolve().parent
 SERVERS = 12
 REQUESTS_PER_S = 25
 DEADLINE_S = 1.0
@@ -128,4 +129,4 @@
 
 
 if __name__ == "__main__":
-    run(Path(__file__).resolve().parent, play)
+    run(CASE, CASE / "record.txt", play)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # build. The project's own rig is not used.
 set -eu
 cd "$(dirname "$0")/.."
-.venv/bin/python -m compileall -q review/stand_ins_2
+.venv/bin/python -m compileall -q review/6/stand_ins_2
