Let one module own the watch of the server list; the balancer only sets its pauses

What callers saw: after a slow or cut answer of a crowded discovery that is polled, the sidecar never called discovery again.

Cause: one fact had two owners. Whether a watch is open was known by net/discovery.py (`State`); the policy kept its own copy, `state.subscribed`, and set it on every list update. Entries of a kept call that came in the pause between two failed calls (`_use_partial_list`), and each change that the membership view publishes, made the copy wrong. The pause ended in `on_timer`, which did not ask; nobody owed the next call any more.

Change: `Discovery` alone knows whether a watch is wanted and open. The policy has no state of it: a failure yields `Subscribe(delay_ns)`, and `Discovery` waits. The simulator's adapter keeps the alarm of a subscription.

--- a/covetally/interface/__init__.py
+++ b/covetally/interface/__init__.py
@@ -448,7 +448,10 @@
 
 
 class Subscribe(NamedTuple):
-    """Subscribe to the server list and its changes at discovery."""
+    """Subscribe to the server list and its changes at discovery in `delay_ns`, unless a subscription is open by
+    then. Whoever carries this out knows whether one is open, and reports its end with the scope FAILED."""
+
+    delay_ns: int
 
 
 class SendToPeer(NamedTuple):
--- a/covetally/net/discovery_schedule.py
+++ b/covetally/net/discovery_schedule.py
@@ -26,7 +26,8 @@
 
 LONG_POLL_MS = 2000  # wait of a watch; short, because a silent watch is detected only after the wait
 WAIT_MARGIN_S = 1.0  # a call may take this much longer than the wait that it asked for
-MAX_RETRY_PAUSE_S = 0.1  # between failed calls
+MAX_RETRY_PAUSE_S = 0.1  # between failed calls, where lists are pushed
+POLLED_PAUSE_S = 1.0  # where they are polled, unless the policy asks for another
 PUSHED_TIMEOUT_S = 0.25  # a working agent on this machine has answered by then
 # Upper limits for the timeout and the pause, as fractions of the drain grace.
 TIMEOUT_GRACE_FRACTION, PAUSE_GRACE_FRACTION = 0.4, 0.15
@@ -71,6 +72,12 @@
     return max(MIN_RETRY_PAUSE_S, min(MAX_RETRY_PAUSE_S, PAUSE_GRACE_FRACTION * grace_s))
 
 
+def longest_pause_s(must_call_s: float) -> float:
+    """Return the longest pause before a call where lists are polled. `must_call_s` is the time after which a
+    sidecar that has not called counts as notified."""
+    return min(must_call_s, NOTIFIED_AFTER_SILENCE_S - POLLED_TIMEOUT_S)
+
+
 def detection_s(timing: CallTiming, grace_s: float = DRAIN_GRACE_S) -> float:
     """Return the longest time between a call falling silent and the start of the next one."""
     return timing.timeout_s + retry_pause_s(grace_s)
--- a/covetally/net/invariants.py
+++ b/covetally/net/invariants.py
@@ -16,6 +16,8 @@
     OVERDUE            Sidecar._answer_overdue    the balancer finishes every request by its deadline
     LISTENER_STALLED   Frontend.check_listener    the listener is watched, or a timer ends its pause
     ENDED_OWING        Frontend._close_remaining  no response is owed when the process ends
+    WATCH_STALLED      Process._check_watch       while the server list is to be watched, a call to discovery is
+                                                  within its timeout, or a timer is set for the next one
 """
 
 from __future__ import annotations
@@ -37,6 +39,7 @@
     OVERDUE = "overdue"
     LISTENER_STALLED = "listener_stalled"
     ENDED_OWING = "ended_owing"
+    WATCH_STALLED = "watch_stalled"
 
 
 class Violations:
--- a/covetally/net/sidecar.py
+++ b/covetally/net/sidecar.py
@@ -116,7 +116,7 @@
         clock: Clock,
         upstream: Upstream,
         send_gossip: Callable[[int, bytes], None],
-        subscribe: Callable[[], None],
+        subscribe: Callable[[float], None],
     ) -> None:
         self._clock = clock
         self.wheel = clock.wheel
@@ -300,8 +300,8 @@
                 asyncio.get_running_loop().call_later(delay_ns / 1e9, self._handle, TimerFired(tag))
             case SendToPeer(peer, blob):
                 self._send_gossip(peer, blob)
-            case Subscribe():
-                self._subscribe()
+            case Subscribe(delay_ns):
+                self._subscribe(delay_ns / 1e9)
 
     def _submit(self, action: Submit, now: int) -> None:
         call = self._calls.get(action.tid)
--- a/covetally/policy/events.py
+++ b/covetally/policy/events.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from covetally.interface import NOT_EXECUTED, AttemptEnded, RequestReceived, Subscribe
+from covetally.interface import NOT_EXECUTED, AttemptEnded, RequestReceived
 from covetally.policy.state import BalancerState
 from covetally.policy.calls import Call
 from covetally.policy.constants import (
@@ -98,10 +98,7 @@
 
 
 def on_timer(state: BalancerState, now: int) -> None:
-    """Subscribe to the server list, and dispatch queued calls, if that is due."""
-    if state.settings.must_subscribe and not state.subscribed and now >= state.subscribe_at:
-        state.subscribe_at = now + state.settings.invariants.subscribe_within_ns // 2
-        state.actions.append(Subscribe())
+    """Dispatch queued calls if that is due."""
     if state.queue and now >= state.timer_at:
         state.timer_at = 0
         dispatch_queue(state, now)
--- a/covetally/policy/server_list.py
+++ b/covetally/policy/server_list.py
@@ -1,10 +1,10 @@
-"""Applies server list updates, maintains what is derived from the list, and schedules subscriptions."""
+"""Applies server list updates, maintains what is derived from the list, and decides when to subscribe."""
 
 from __future__ import annotations
 
 from zlib import crc32
 
-from covetally.interface import SECOND, ServerEntry, ServerListUpdate, SetTimer
+from covetally.interface import SECOND, ServerEntry, ServerListUpdate, Subscribe
 from covetally.policy.state import BalancerState
 from covetally.policy.constants import HIGH_TRAFFIC_REQUESTS
 from covetally.policy.server import Server
@@ -22,14 +22,10 @@
 def apply_update(state: BalancerState, now: int, event: ServerListUpdate) -> None:
     """Apply a server list update, then dispatch queued calls."""
     if event.scope == "FAILED":
-        state.subscribed = False
-        schedule_subscribe(state, now)
+        subscribe(state)
         return
-    if event.scope == "SAVED":
-        if state.settings.must_subscribe:  # drains count as known to an instance even before it subscribes
-            schedule_subscribe(state, now)
-    else:
-        state.subscribed = state.settings.must_subscribe
+    if event.scope == "SAVED" and state.settings.must_subscribe:
+        subscribe(state)  # drains count as known to an instance even before it subscribes
     if event.scope != "INCREMENTAL":
         listed = {entry.server for entry in event.entries}
         for name, server in list(state.servers.items()):
@@ -97,9 +93,7 @@
     state.high_traffic = state.recent_requests > HIGH_TRAFFIC_REQUESTS * len(state.up)
 
 
-def schedule_subscribe(state: BalancerState, now: int) -> None:
-    """Set the timer of the next subscription, after a random delay."""
+def subscribe(state: BalancerState) -> None:
+    """Subscribe after a random delay."""
     mean = min(MEAN_SUBSCRIBE_DELAY, state.settings.invariants.subscribe_within_ns // 4)
-    delay = int(mean * (0.2 + 1.6 * state.random()))
-    state.subscribe_at = now + delay
-    state.actions.append(SetTimer(delay, 0))
+    state.actions.append(Subscribe(int(mean * (0.2 + 1.6 * state.random()))))
--- a/covetally/policy/state.py
+++ b/covetally/policy/state.py
@@ -76,8 +76,6 @@
         self.unserved: dict[tuple[int, int, str, int], int] = {}  # first arrival by retry signature
         self.key_counts: dict[str, int] = {}
         self.key_total = 0
-        self.subscribe_at = 0
-        self.subscribed = False
         self.has_full_list = False  # this process has had a full list, so a server not in it is new
         self.reconfigure(settings)
 
--- a/covetally/process.py
+++ b/covetally/process.py
@@ -25,6 +25,7 @@
 from covetally.net.config import ConfigError
 from covetally.net.discovery import Discovery
 from covetally.net.frontend import Frontend
+from covetally.net.invariants import Invariant
 from covetally.net.listener import create_listener
 from covetally.net.memory import MemoryAccount, account_bytes
 from covetally.net.peers import Peers
@@ -98,7 +99,9 @@
         self.upstream = Upstream(settings, config.load_fields, clock, config.server_connections, self.memory)
         self.peers = Peers(config.peers, config.peers_all)
         self.discovery = Discovery(settings, config.discovery, self.memory)
-        self.sidecar = Sidecar(settings, config.seed, clock, self.upstream, self.peers.send, self._subscribe)
+        self.sidecar = Sidecar(
+            settings, config.seed, clock, self.upstream, self.peers.send, self.discovery.subscribe
+        )
         self.frontend = Frontend(settings, self.sidecar, config.client_connections, self.memory)
 
     # --- interface for management (see control/instance.py) -------------------------------------
@@ -222,6 +225,16 @@
         """Called several times a second."""
         self.frontend.check_listener()
         self.free_memory.check()
+        self._check_watch()
+
+    def _check_watch(self) -> None:
+        """Report and end a stall of the watch of the server list."""
+        stall = self.discovery.check()
+        if not self.discovery.watching and self._uses_discovery:
+            stall = "it was not started"
+            self.discovery.start()
+        if stall:
+            self.sidecar.violations.report(Invariant.WATCH_STALLED, "-", stall)
 
     def _resize_memory(self) -> None:
         """Let peers take what the limit leaves beside the memory at rest."""
@@ -363,9 +376,9 @@
     def _on_list_update(self, update: ListUpdate) -> None:
         self._apply_update(update, "FULL" if update.full else "INCREMENTAL")
 
-    def _subscribe(self) -> None:
-        if self.roster is None or self.roster.uses_platform:
-            self.discovery.subscribe()
+    @property
+    def _uses_discovery(self) -> bool:
+        return self.roster is None or self.roster.uses_platform
 
     async def _shut_down(self) -> None:
         log.info("%s drains", self.config.name)
--- a/covetally/simulator_adapter.py
+++ b/covetally/simulator_adapter.py
@@ -39,6 +39,7 @@
 # By line name: the field that holds free text, up to the end of the line.
 TEXT_FIELDS = {"open_instance": " env="}
 RETRY_BIT = 2  # of `bitmap`
+SUBSCRIBE_TAG = 1000  # of the alarms that this module sets; the balancer's are below
 
 
 class ProtocolError(Exception):
@@ -161,7 +162,7 @@
     Refuse: lambda instance, a: f"push_back who={instance} tid={a.tid} holdOffNs={a.hold_off_ns}\n",
     Fail: lambda instance, a: f"finish_error who={instance} tid={a.tid}\n",
     CancelAttempt: lambda instance, a: f"retract who={instance} tid={a.tid} go={a.attempt}\n",
-    Subscribe: lambda instance, a: f"subscribe who={instance} want=1\n",
+    Subscribe: lambda instance, a: f"defer who={instance} inNs={a.delay_ns} tag={SUBSCRIBE_TAG}\n",
     SendToPeer: lambda instance, a: f"signal who={instance} to={a.peer} blob={a.blob.hex() or '-'}\n",
     SetTimer: lambda instance, a: f"defer who={instance} inNs={a.delay_ns} tag={a.tag}\n",
 }
@@ -177,6 +178,7 @@
         self._now = 0
         self._server_lists: dict[int, tuple[ServerEntry, ...]] = {}
         self._instances: dict[int, Balancer] = {}
+        self._unsubscribed: set[int] = set()  # instances whose next subscription has an alarm
 
     def run(self) -> int:
         """Process batches until the input ends; return the exit status."""
@@ -217,7 +219,9 @@
 
     def _handle_line(self, line: str, out: list[str]) -> None:
         name = line.partition(" ")[0]
-        if name in EVENT_PARSERS:
+        if name == "alarm" and _int_field(fields := _fields(line), "tag", 0) == SUBSCRIBE_TAG:
+            self._subscribe(_int_field(fields, "who"), out)
+        elif name in EVENT_PARSERS:
             fields = _fields(line)
             self._deliver(_int_field(fields, "who"), EVENT_PARSERS[name](fields), out)
         elif name == "roster":
@@ -231,7 +235,9 @@
         elif name == "open_instance":
             self._open_instance(_fields(line), out)
         elif name == "crash_now":
-            self._instances.pop(_int_field(_fields(line), "who"), None)
+            instance = _int_field(_fields(line), "who")
+            self._instances.pop(instance, None)
+            self._unsubscribed.discard(instance)
 
     def _read_server_list(self, count: int) -> tuple[ServerEntry, ...]:
         entries = []
@@ -270,10 +276,20 @@
             return
         try:
             for action in balancer.handle(self._now, event):
+                if type(action) is Subscribe:
+                    if instance in self._unsubscribed:
+                        continue  # its alarm is set
+                    self._unsubscribed.add(instance)
                 out.append(ACTION_FORMATTERS[type(action)](instance, action))
         except Exception as error:  # the protocol reports any failure of an instance as a fault action
             self._report_fault(instance, error, out)
 
+    def _subscribe(self, instance: int, out: list[str]) -> None:
+        """Subscribe an instance whose alarm is due."""
+        if instance in self._unsubscribed:
+            self._unsubscribed.discard(instance)
+            out.append(f"subscribe who={instance} want=1\n")
+
     def _run_guarded(self, instance: int, work: Callable[[], None], out: list[str]) -> None:
         try:
             work()
--- a/tests/support.py
+++ b/tests/support.py
@@ -149,7 +149,10 @@
                 self.answer(*what, status=303)
             else:
                 self.timers.remove((at, what))
-                self.feed(TimerFired(what))
+                if what is Subscribe:
+                    self.subscriptions += 1
+                else:
+                    self.feed(TimerFired(what))
             self.check_deadlines()
         self.now = end
         self.check_deadlines()
@@ -190,8 +193,8 @@
                 self._final(action.tid, "failed")
             case SetTimer():
                 self.timers.append((self.now + max(action.delay_ns, 1), action.tag))
-            case Subscribe():
-                self.subscriptions += 1
+            case Subscribe(delay_ns):
+                self.timers.append((self.now + delay_ns, Subscribe))
 
     def _possible_executions(self, tid: str) -> list[tuple[str, int, int | None]]:
         return [a for a in self.history[tid] if a[2] not in NOT_EXECUTED]
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -130,3 +130,38 @@
     assert run.returncode == 2
     assert run.stdout == b""
     assert run.stderr.count(b"\n") == 1
+
+
+SUBSCRIBING_ENV = json.dumps(ENV | {"discovery": "subscribe"})
+FAILED = "directory_update who=3 scope=FAILED gen=0 slot=0\n"
+
+
+def alarm_delays(reply: str) -> list[str]:
+    """The lines that set an alarm for a subscription."""
+    return [line for line in reply.splitlines() if line.startswith("defer ")]
+
+
+def test_an_instance_subscribes_once_after_each_pause():
+    """Each failure is followed by one call, whatever was listed in between; a call is priced."""
+    start = f"open_instance who=3 prng=7 env={SUBSCRIBING_ENV}\n" + SERVER_LIST + LIST_UPDATE
+    alarm = f"alarm who=3 tag={simulator_adapter.SUBSCRIBE_TAG}\n"
+    change = LIST_UPDATE.replace("SAVED", "INCREMENTAL")
+    _, first = run_adapter(batch(100, start))
+    assert len(alarm_delays(first)) == 1 and "subscribe" not in first
+    _, reply = run_adapter(batch(100, start) + batch(10**9, alarm) + batch(2 * 10**9, FAILED, FAILED, change))
+    assert len(alarm_delays(reply)) == 2 and reply.count("subscribe who=3 want=1\n") == 1
+    text = (
+        batch(100, start)
+        + batch(10**9, alarm)
+        + batch(2 * 10**9, FAILED, change)
+        + batch(3 * 10**9, alarm, alarm)
+    )
+    _, reply = run_adapter(text)
+    assert reply.count("subscribe who=3 want=1\n") == 2
+
+
+def test_an_alarm_of_an_instance_that_has_crashed_subscribes_nobody():
+    start = f"open_instance who=3 prng=7 env={SUBSCRIBING_ENV}\n" + SERVER_LIST + LIST_UPDATE
+    alarm = f"alarm who=3 tag={simulator_adapter.SUBSCRIBE_TAG}\n"
+    _, reply = run_adapter(batch(100, start) + batch(200, "crash_now who=3\n") + batch(10**9, alarm))
+    assert "subscribe" not in reply
