Do not let an older answer of discovery take back a drain that a later call brought

What callers saw: a server whose drain had come with a cut answer got requests again when an earlier call, kept open past its timeout, ended with an older list, whole or cut, until the next answer.

Cause: net/discovery.py applied the entries of each incomplete answer, and the first complete one, in the order in which they ended. Nothing ordered the answers of two calls that are open at once; `used_entries` only kept one call from applying its own entries twice.

Change: `PartialLists` remembers which call and version brought each entry since the last complete answer. An entry whose call started earlier and whose list has no higher version is not used; a complete answer that is older keeps the newer entries. A call that started earlier may still bring a higher version, and a restarted discovery's lower versions count, since its calls start later.

--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -32,6 +32,7 @@
 from covetally.net.discovery_call import DiscoveryCall
 from covetally.net.http_message import Malformed
 from covetally.net.memory import MemoryAccount
+from covetally.net.partial_lists import ListOrigin, PartialLists
 from covetally.net.server_list import (
     ListError,
     ListUpdate,
@@ -58,6 +59,10 @@
     timer: asyncio.TimerHandle  # ends its timeout; after that, closes it
     used_entries: int = 0  # of an incomplete answer
 
+    def origin(self, generation: int | None) -> ListOrigin:
+        """Return the origin of what this call brings."""
+        return ListOrigin(self.started, generation)
+
 
 @dataclass(slots=True, eq=False)
 class _Pause:
@@ -78,6 +83,7 @@
         self._address = address
         self._index: int | None = None  # the version of the known list
         self._update_lost = False  # an update could not be applied: the next call asks for the full list
+        self._partial_lists = PartialLists()
         self._connection: AsyncConnection | None = None  # kept open between calls
         self._failing = False  # the newest call that ended or timed out has failed
         self._watch: _OpenCall | _Pause | None = None  # CALLING, PAUSING or STOPPED
@@ -113,6 +119,7 @@
     def stop(self) -> None:
         """End the watch."""
         self._close_calls()
+        self._partial_lists.clear()
         self._set_watch(None)
         if self._connection is not None:
             self._connection.close()
@@ -258,6 +265,7 @@
         self._failing = False
         self._set_version(update)
         self._call()
+        update = self._partial_lists.complete(open_call.origin(update.generation), update)
         if update.full or update.entries:
             self._apply(update)
 
@@ -293,12 +301,16 @@
 
     def _use_partial_list(self, open_call: _OpenCall) -> None:
         """Apply the entries that were received completely in an incomplete answer: each of them is valid. Those
-        that were applied before are not applied again, since a later call may have brought newer ones."""
+        that were applied before are not applied again."""
         text = open_call.call.received.decode("utf-8", "replace")
         entries = parse_partial_list(self._settings, text)
         entries, open_call.used_entries = entries[open_call.used_entries :], len(entries)
-        if entries and not self._is_stale(open_call, parse_generation(text)):
-            self._apply(ListUpdate(0, False, entries))
+        generation = parse_generation(text)
+        if self._is_stale(open_call, generation):
+            return
+        entries = self._partial_lists.take_newer(open_call.origin(generation), entries)
+        if entries:
+            self._apply(ListUpdate(generation or 0, False, entries))
 
     def _set_version(self, update: ListUpdate) -> None:
         """Set the version that the next call asks for changes from."""
