Close the connection of an answer of discovery that came whole but is no list

What callers saw: while discovery, or what stands in front of it, answers with what is no list, each call kept a descriptor and its share of the memory for peers for good. Lists are called for ten times a second then; once the account was full every later list was refused, so drains were no longer known.

Cause: `DiscoveryCall.run` closes the connection of a call that fails, but a whole answer that `parse_list` rejects fails in `Discovery._call_done`, which never closed it. An answer that is nested too deeply failed there with RecursionError, which is now an invalid list like others.

--- a/covetally/net/discovery.py
+++ b/covetally/net/discovery.py
@@ -277,7 +277,8 @@
         return generation < self._index
 
     def _call_failed(self, open_call: _OpenCall, text: str) -> None:
-        """Handle the failure of one call."""
+        """Handle the failure of one call. Its connection may still be open, if the answer came whole."""
+        open_call.call.close()
         if open_call is self._watch:
             self._call_again(text)
         else:
@@ -334,5 +335,5 @@
 def _parsed(body: bytes) -> object:
     try:
         return json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ListError(str(error)) from None
--- a/covetally/net/server_list.py
+++ b/covetally/net/server_list.py
@@ -84,7 +84,7 @@
         try:
             item, at = decoder.raw_decode(text, at)
             entries.append(_entry(settings, item))
-        except (ListError, KeyError, TypeError, ValueError, AttributeError, OverflowError):
+        except (ListError, KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError):
             break
         at = _COMMA.match(text, at).end()
     return entries
--- a/tests/discovery/test_watch.py
+++ b/tests/discovery/test_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import json
 
@@ -12,6 +13,7 @@
 from covetally.net import discovery_call, discovery_schedule
 from covetally.net.clock import Clock
 from covetally.net.discovery import LATE_TIMER_S, Discovery
+from covetally.net.discovery_call import PARSED_FACTOR
 from tests.discovery.drawn_discovery import DrawnDiscovery
 from tests.discovery.test_drawn_troubles import SERVERS, VirtualConnection
 from tests.discovery.watching_sidecar import WatchingSidecar
@@ -200,6 +202,33 @@
     run_in_virtual_time(main())
 
 
+@pytest.mark.parametrize("body", [b'{"generation": 1, "instances": [{"instanceId": ', b"[" * 100_000])
+def test_answers_that_are_no_lists_hold_neither_memory_nor_connections(body):
+    """Each kept its connection and its share of the memory for good, until every list was refused."""
+
+    async def main():
+        ended = 0
+
+        async def discover(server, got, reader, writer):
+            writer.write(response(body))
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+            nonlocal ended
+            ended += 1
+
+        server = ScriptedServer(discover)
+        await server.start()
+        sidecar = WatchingSidecar(True, Clock(), server.address, SERVERS)
+        async with asyncio.timeout(10.0):
+            await wait_until(lambda: len(server.requests) == 10)
+            await wait_until(lambda: ended >= 9)
+        assert sidecar.discovery._memory.used <= len(body) * PARSED_FACTOR
+        sidecar.discovery.stop()
+        server.stop()
+
+    asyncio.run(main())
+
+
 # --- changes of the address ------------------------------------------------------------------------
 
 
