Keep supervising processes while the agent's disk refuses, or a check of one fails

What operators saw: once a process was started while the agent's disk refused the write of its pid, no process of that agent was started again.

Cause: `Supervisor._run` passed over OSError only. sqlite3.OperationalError from `save_process`, or any exception of a check, ended the only task that knows that a start is due.

Change: an exception costs the check of one process. A pid that the store did not take is written again with each check until it is taken, so that a later agent finds the process and does not start a second one.

--- a/covetally/fleet/supervisor.py
+++ b/covetally/fleet/supervisor.py
@@ -21,7 +21,7 @@
 
 from covetally.errors import ConfigurationError
 from covetally.fleet.restart_policy import RestartPolicy
-from covetally.fleet.store import Store
+from covetally.fleet.store import CannotKeepError, Store
 
 log = logging.getLogger(__name__)
 
@@ -107,6 +107,8 @@
     pid: int = 0
     start_ticks: int = 0
     kill_at: float = 0.0
+    saved: bool = True  # its pid is in the store, by which the next agent process finds it
+    save_failed: bool = False  # the last write of it failed
 
 
 class Supervisor:
@@ -176,8 +178,8 @@
             for supervised in self._supervised.values():
                 try:
                     self._check(supervised, now)
-                except OSError as error:
-                    log.error("%s: %s", supervised.program.name, error)
+                except Exception:  # costs this check, and never the supervision
+                    log.exception("%s: cannot be checked", supervised.program.name)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _check(self, supervised: _SupervisedProcess, now: float) -> None:
@@ -200,6 +202,8 @@
                 self._signal(supervised, signal.SIGKILL)
         if restart_policy.should_start(now):
             self._start(supervised, now)
+        if not supervised.saved:
+            self._save(supervised)
 
     def _start(self, supervised: _SupervisedProcess, now: float) -> None:
         program = supervised.program
@@ -228,7 +232,20 @@
                 output.close()
         supervised.pid, supervised.start_ticks = supervised.process.pid, _start_ticks(supervised.process.pid)
         supervised.restart_policy.record_start(now)
-        self._store.save_process(program.name, supervised.pid, supervised.start_ticks)
+        supervised.saved = False
+
+    def _save(self, supervised: _SupervisedProcess) -> None:
+        """Save a process that was started. If the disk refuses, the next check tries again."""
+        name = supervised.program.name
+        try:
+            with self._store.transaction():
+                self._store.save_process(name, supervised.pid, supervised.start_ticks)
+        except CannotKeepError as error:
+            if not supervised.save_failed:
+                log.error("%s: pid %d: %s", name, supervised.pid, error.as_line())
+            supervised.save_failed = True
+            return
+        supervised.saved, supervised.save_failed = True, False
 
     def _is_alive(self, supervised: _SupervisedProcess) -> bool:
         if supervised.process is not None:
