Go on reading sources and renewing the lease after a failure nobody foresaw

What callers and operators saw: an exception other than a failed call, such as one raised while a list was applied, ended the reading of the Eureka registry or of the node file, the active checks, or the renewal of a lease for good; drains were not heard of any more, or the instance expired while it served.

Cause: each had a loop of its own in a task. Whether the next read is due was known by nothing but that task, and it ended with the first exception that its loop did not name. For the registry this was logged, for the others not.

Change: membership/polling.py `repeat` is the one loop of all four. An error costs one step; it is logged once for equal errors in a row, and the half read connection is closed.

--- a/covetally/membership/active_checks.py
+++ b/covetally/membership/active_checks.py
@@ -9,6 +9,7 @@
 from covetally.interface import Settings
 from covetally.membership.http import fetch_status
 from covetally.membership.model import Address
+from covetally.membership.polling import repeat
 from covetally.membership.settings import MembershipConfig
 from covetally.membership.unresponsive import check_schedule
 
@@ -36,7 +37,7 @@
 
     def start(self) -> None:
         """Starts checking."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("checking the nodes", self._check_nodes, NO_NODES_PAUSE_S))
 
     def stop(self) -> None:
         """Stops checking."""
@@ -49,21 +50,19 @@
         counts = {"asked": self.sent, "failed": self.failed}
         return {"path": self._path, "each_node_every_s": round(period_s, 1)} | counts
 
-    async def _run(self) -> None:
-        while True:
-            nodes = self._nodes()
-            if not nodes:
-                await asyncio.sleep(NO_NODES_PAUSE_S)
-                continue
-            schedule = check_schedule(
-                sorted(nodes), self._settings.replicas, self._per_node_s, self._settings.index
-            )
-            for wait_s, node in schedule:
-                await asyncio.sleep(wait_s)
-                current = self._nodes()
-                if current.keys() != nodes.keys():
-                    break
-                await self._check(node, current[node])
+    async def _check_nodes(self) -> float:
+        """Checks the nodes in turn until their list changes; returns the pause after that in seconds."""
+        nodes = self._nodes()
+        if not nodes:
+            return NO_NODES_PAUSE_S
+        schedule = check_schedule(sorted(nodes), self._settings.replicas, self._per_node_s, self._settings.index)
+        for wait_s, node in schedule:
+            await asyncio.sleep(wait_s)
+            current = self._nodes()
+            if current.keys() != nodes.keys():
+                break
+            await self._check(node, current[node])
+        return 0.0
 
     async def _check(self, node: str, address: Address) -> None:
         answered = bool(await fetch_status(address, self._path, CHECK_TIMEOUT_S))
--- a/covetally/membership/eureka/client.py
+++ b/covetally/membership/eureka/client.py
@@ -17,6 +17,7 @@
 from covetally.membership.eureka.registry_view import RegistryView
 from covetally.membership.http import CALL_ERRORS, HttpClient, RegistryResponse, UnexpectedStatus
 from covetally.membership.model import Snapshot
+from covetally.membership.polling import repeat
 from covetally.net.clock import Clock
 from covetally.operator.url import Url
 
@@ -71,7 +72,6 @@
     def start(self) -> None:
         """Starts polling."""
         self._task = asyncio.create_task(self._run())
-        self._task.add_done_callback(_log_failure)
 
     def stop(self) -> None:
         """Stops polling."""
@@ -91,14 +91,22 @@
 
     async def _run(self) -> None:
         try:
-            while True:
-                started_at = self._clock.now()
-                await self._poll()
-                pause_s = self._config.poll_s * random.uniform(0.9, 1.1)
-                await asyncio.sleep(max(0.01, pause_s - (self._clock.now() - started_at) / 1e9))
+            await repeat("reading the registry", self._poll_once, self._config.poll_s)
         finally:
             await self._http.close()
 
+    async def _poll_once(self) -> float:
+        """Polls, and returns the pause until the next poll in seconds."""
+        started_at = self._clock.now()
+        try:
+            await self._poll()
+        except Exception:
+            await self._http.close()  # its answer may be half read
+            self._view = None
+            raise
+        pause_s = self._config.poll_s * random.uniform(0.9, 1.1)
+        return max(0.01, pause_s - (self._clock.now() - started_at) / 1e9)
+
     async def _poll(self) -> None:
         """Reads the addresses in turn until one answers or all of them are in backoff."""
         for _ in self._urls:
@@ -245,8 +253,3 @@
             return None
         finally:
             await http.close()
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and (error := task.exception()):
-        log.error("internal error while following the registry", exc_info=error)
--- a/covetally/membership/file.py
+++ b/covetally/membership/file.py
@@ -20,6 +20,7 @@
 
 from covetally.errors import DamagedError
 from covetally.membership.model import STATES, UP, Member, Snapshot
+from covetally.membership.polling import repeat
 
 log = logging.getLogger(__name__)
 
@@ -119,17 +120,17 @@
     def start(self) -> None:
         """Starts polling; the file is read at once."""
         self.poll()
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("reading the node file", self._poll_after_pause, POLL_S))
 
     def stop(self) -> None:
         """Stops polling."""
         if self._task is not None:
             self._task.cancel()
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(POLL_S)
-            self.poll()
+    async def _poll_after_pause(self) -> float:
+        await asyncio.sleep(POLL_S)
+        self.poll()
+        return 0.0
 
     def poll(self) -> None:
         """Reads the file if it has changed, and reports its nodes as a new snapshot even if it has not."""
--- a/covetally/membership/registration.py
+++ b/covetally/membership/registration.py
@@ -14,6 +14,7 @@
 from covetally.membership.eureka.lease import Action, Health, Lease
 from covetally.membership.eureka.address_selector import AddressSelector
 from covetally.membership.http import CALL_ERRORS, HttpClient, fetch_status
+from covetally.membership.polling import repeat
 from covetally.membership.settings import read_authorization
 from covetally.net.config import Address, Config
 from covetally.operator.schema import Value
@@ -55,7 +56,7 @@
 
     def start(self) -> None:
         """Starts registering and renewing."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("registering", self._renew, min(1.0, self._renew_s)))
 
     async def stop(self, cancel: bool = True) -> None:
         """Stops renewing, and deregisters the instance if `cancel` is set.
@@ -78,21 +79,22 @@
         lease = self._lease
         return {"app": self._app, "id": self._id, "status": lease.status, "health": lease.health.value}
 
-    async def _run(self) -> None:
-        while True:
-            try:
-                await self._update_registration()
-                retry_soon = not self._lease.status and self._lease.health is Health.HEALTHY
-            except CALL_ERRORS as error:
-                await self._http.close()
-                self._addresses.record_failure(time.monotonic_ns(), self._last_address, random.random())
-                if not self._failing:
-                    log.warning("registering %s: %s: %s", self._id, type(error).__name__, error)
-                self._failing = retry_soon = True
-            pause_s = min(1.0, self._renew_s) if retry_soon else self._lease.pause_s()
-            await asyncio.sleep(
-                pause_s * random.uniform(0.9, 1.0)
-            )  # only earlier, so that the lease cannot expire
+    async def _renew(self) -> float:
+        """Registers the instance or renews its lease; returns the pause until the next time in seconds."""
+        try:
+            await self._update_registration()
+            retry_soon = not self._lease.status and self._lease.health is Health.HEALTHY
+        except CALL_ERRORS as error:
+            await self._http.close()
+            self._addresses.record_failure(time.monotonic_ns(), self._last_address, random.random())
+            if not self._failing:
+                log.warning("registering %s: %s: %s", self._id, type(error).__name__, error)
+            self._failing = retry_soon = True
+        except Exception:
+            await self._http.close()  # its answer may be half read
+            raise
+        pause_s = min(1.0, self._renew_s) if retry_soon else self._lease.pause_s()
+        return pause_s * random.uniform(0.9, 1.0)  # only earlier, so that the lease cannot expire
 
     async def _update_registration(self) -> None:
         lease = self._lease
