Keep the timers of the gossip and of the tier after a tick that fails

What callers saw: nothing, until a datagram of another sidecar came; alone, or where all had failed alike, a sidecar took no part any more, and the others took it for dead.

Cause: `_tick` cleared the timer first and set the next one last, so an exception of a participant left none.

Change: a failed tick is logged, the others run, and the next one follows a second later at the earliest, since what failed may be due still.

--- a/covetally/gossip/transport.py
+++ b/covetally/gossip/transport.py
@@ -6,14 +6,17 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, NamedTuple, Protocol
 
-from covetally.interface import Event
+from covetally.interface import SECOND, Event
 from covetally.gossip.frame import MalformedMessageError, Message, Topic, decode, encode
 
 BROADCAST = -1
+ERROR_PAUSE_NS = SECOND  # after a tick that failed: its participant may be due still
+log = logging.getLogger(__name__)
 
 
 class Outgoing(NamedTuple):
@@ -61,6 +64,7 @@
         self.malformed = 0  # datagrams dropped: not a message, or sent under another peer's index
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0
+        self._not_before = 0  # the next tick is no earlier
 
     def start(self) -> None:
         """Run the first tick, which starts the timer."""
@@ -103,10 +107,18 @@
         now = self._callbacks.now()
         for participant in self.participants.values():
             if now >= participant.due:
-                self._send(participant.tick(now))
-                self._apply_events(now, participant)
+                self._tick_participant(now, participant)
         self._set_timer()
 
+    def _tick_participant(self, now: int, participant: Participant) -> None:
+        """Run one participant's tick. If it fails, the others and the timer go on."""
+        try:
+            self._send(participant.tick(now))
+            self._apply_events(now, participant)
+        except Exception:
+            log.exception("a tick of %s failed", type(participant).__name__)
+            self._not_before = now + ERROR_PAUSE_NS
+
     def _apply_events(self, now: int, participant: Participant) -> None:
         for event in participant.events(now):
             self._callbacks.apply_event(event)
@@ -116,7 +128,7 @@
             self._callbacks.send(peer, encode(message))
 
     def _set_timer(self) -> None:
-        at = min(participant.due for participant in self.participants.values())
+        at = max(self._not_before, min(participant.due for participant in self.participants.values()))
         if self._timer is not None:
             if self._timer_at <= at:
                 return
--- a/covetally/tier/transport.py
+++ b/covetally/tier/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -15,8 +16,11 @@
 WARNING_LIFETIME_NS = 3 * SECOND  # a warning expires after this time if no further one follows
 WARNING_REFRESH_NS = SECOND  # how often an unchanged warning is sent again
 DEMAND_INTERVAL_NS = SECOND // 4  # minimum time between measurements of the demand
+ERROR_PAUSE_NS = SECOND  # after a tick that failed: it may be due still
 DEMAND_SMOOTHING = 0.5  # weight of the previous value in each measurement
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class TransportCallbacks:
@@ -59,6 +63,7 @@
         self.member = TierMember(index, size, boot_id, seed, now, config)
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0
+        self._not_before = 0  # the next tick is no earlier
         self._ejections, self._warned_at = Ejections(), 0
         self._demand: dict[str, float] = {}
         self._demand_at = now
@@ -109,9 +114,14 @@
     def _tick(self) -> None:
         self._timer = None
         now = self._callbacks.now()
-        if self._limits and now - self._demand_at >= DEMAND_INTERVAL_NS:
-            self._measure_demand(now)
-        self._apply(self.member.tick(now, self._demand))
+        try:
+            if self._limits and now - self._demand_at >= DEMAND_INTERVAL_NS:
+                self._measure_demand(now)
+            self._apply(self.member.tick(now, self._demand))
+        except Exception:
+            log.exception("a tick of the tier failed")
+            self._not_before = now + ERROR_PAUSE_NS
+            self._set_timer()
 
     def _apply(self, datagrams: list[Datagram]) -> None:
         self._send(datagrams)
@@ -156,7 +166,7 @@
             self._callbacks.send(peer, data)
 
     def _set_timer(self) -> None:
-        at = self.member.due
+        at = max(self.member.due, self._not_before)
         if self._timer is not None:
             if self._timer_at <= at:
                 return
