Set the queue's timer anew if it fires before it is due

Cause: `on_timer` passed over a timer that came before `timer_at`, and no other was set: the same form as the swallowed timer of subscriptions.

Change: the last pending timer that comes early is followed by another, of a microsecond at least. Timers are counted, so that they do not add up.

Evidence: with timers that come 1 ns early the new test's queued calls were still waiting at 290 ms, past the latest moment at which they could be served.

--- a/covetally/policy/dispatch.py
+++ b/covetally/policy/dispatch.py
@@ -14,6 +14,10 @@
 from covetally.policy.estimates import mean_local_delay
 
 
+QUEUE_TIMER = 1  # tag of the timers of this module
+MIN_TIMER_DELAY = 1_000  # in ns; a shorter timer could fire early again and again
+
+
 def queue_deadline(state: BalancerState, call: Call) -> int:
     """Return the time from which queueing a call earns nothing; it is always before the call's deadline."""
     last = call.deadline - 2 * state.settings.period_ns
@@ -88,7 +92,13 @@
     """Set the timer of the next look at the queue, unless it is empty or a timer is pending."""
     if state.queue and state.timer_at <= now:
         state.timer_at = now + state.queue_check_ns
-        state.actions.append(SetTimer(state.queue_check_ns, 1))
+        add_queue_timer(state, state.queue_check_ns)
+
+
+def add_queue_timer(state: BalancerState, delay: int) -> None:
+    """Set a timer for a look at the queue."""
+    state.pending_timers += 1
+    state.actions.append(SetTimer(max(delay, MIN_TIMER_DELAY), QUEUE_TIMER))
 
 
 def dispatch_queue(state: BalancerState, now: int) -> None:
--- a/covetally/policy/events.py
+++ b/covetally/policy/events.py
@@ -25,7 +25,7 @@
 from covetally.policy.load_shedding import overload_hold_off
 from covetally.policy.estimates import mean_local_delay, record_response, report_to_peers
 from covetally.policy.outlier_detection import record_failure, record_success, set_zone_failures
-from covetally.policy.dispatch import dispatch, dispatch_queue, enqueue, retry_or_finish
+from covetally.policy.dispatch import add_queue_timer, dispatch, dispatch_queue, enqueue, retry_or_finish
 
 ANSWERED = (OK, ERROR, FULL, UNUSABLE_RESPONSE)
 NO_EVIDENCE = (CANCELLED, NOT_SENT)  # statuses that say nothing about the server
@@ -98,10 +98,16 @@
 
 
 def on_timer(state: BalancerState, now: int) -> None:
-    """Dispatch queued calls if that is due."""
-    if state.queue and now >= state.timer_at:
+    """Dispatch queued calls if that is due. Rounding may let a timer fire early: if it was the only one, another
+    follows."""
+    state.pending_timers = max(0, state.pending_timers - 1)
+    if not state.queue:
+        return
+    if now >= state.timer_at:
         state.timer_at = 0
         dispatch_queue(state, now)
+    elif not state.pending_timers:
+        add_queue_timer(state, state.timer_at - now)
 
 
 def on_attempt_ended(state: BalancerState, now: int, event: AttemptEnded) -> None:
--- a/covetally/policy/state.py
+++ b/covetally/policy/state.py
@@ -43,7 +43,8 @@
         self.calls: dict[str, Call] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.queue: deque[Call] = deque()  # calls that wait for a server, in arrival order
-        self.timer_at = 0
+        self.timer_at = 0  # when to look at the queue next
+        self.pending_timers = 0  # timers of that which have not fired
         self.class_service_ns = [c.aim_ns / 4 for c in settings.classes]  # learned mean service time by class
         self.service_ratio = 1.0  # mean of service time over call size, for all servers
         self.ratio_by_kind: dict[int, float] = {}
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -26,6 +26,25 @@
     assert harness.subscriptions == 2, "an active subscription is not renewed"
 
 
+def test_a_timer_that_fires_early_leaves_no_call_waiting_past_its_deadline():
+    """It was swallowed, and no other looked at the queue: a call waited until another event, or for good."""
+    harness = BalancerHarness(servers=2)
+
+    class EarlyTimers(list):
+        """Timers that fire 1 ns before they are due, as a clock's rounding may have it."""
+
+        def append(self, timer):
+            super().append((timer[0] - 1, timer[1]))
+
+    harness.timers = EarlyTimers()
+    for _ in range(20):
+        harness.accept(ttl=900 * MS)
+    assert harness.balancer.state.queue
+    harness.advance(290 * MS)  # an attempt ends no sooner than at the aim of its call
+    assert harness.outstanding and not harness.balancer.state.queue
+    assert len(harness.timers) <= 1, "early timers do not add up"
+
+
 # --- ordinary path ------------------------------------------------------------------------------
 
 
