Send a worker's next heartbeat also after one that fails

Cause: the timer of the next heartbeat was set after the present one was made and sent, so one exception was the last heartbeat, and the supervisor killed a worker that served. The timer is set first now.

Evidence: the test had 2 heartbeats in 5 s before, where 9 are asked for.

--- a/covetally/workers/member.py
+++ b/covetally/workers/member.py
@@ -111,12 +111,10 @@
 
     def _send_heartbeat(self) -> None:
         assert self._process is not None
-        self._channel.send("alive", beat=self._gauges.heartbeat())
-        interval_s = (
-            float(self._process.values.get("workers.hang_s", DEFAULT_HANG_TIMEOUT_S))
-            / HEARTBEATS_PER_HANG_TIMEOUT
-        )
+        hang_timeout_s = float(self._process.values.get("workers.hang_s", DEFAULT_HANG_TIMEOUT_S))
+        interval_s = hang_timeout_s / HEARTBEATS_PER_HANG_TIMEOUT
         asyncio.get_running_loop().call_later(interval_s, self._send_heartbeat)
+        self._channel.send("alive", beat=self._gauges.heartbeat())
 
     def _on_supervisor_exit(self) -> None:
         log.error("the supervisor is gone: this worker drains and ends")
